--- /dev/null
+++ b/ctl/src/main/java/org/masticshelf/ctl/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' tool.
+ */
+@NullMarked
+package org.masticshelf.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The daemon of an entry instance.
+ */
+@NullMarked
+package org.masticshelf.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/port/PeerChannel.java
@@ -0,0 +1,34 @@
+package org.masticshelf.kernel.port;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Calls between daemons: one JSON value to a named operation of a peer, one back.
+ * <p>
+ * Implementations are safe for use by several threads.
+ */
+public interface PeerChannel {
+
+	/**
+	 * Calls a peer.
+	 * @param address the IP number and port of the peer's control listener
+	 * @param operation the operation, such as {@code grant/take}
+	 * @param body the value to send
+	 * @param timeout how long to wait
+	 * @return the answer of the peer; the future fails with an {@link ExchangeFailure} if
+	 * there was none
+	 */
+	CompletableFuture<JsonNode> call(String address, String operation, JsonNode body, Duration timeout);
+
+	/**
+	 * Answers an operation on this daemon's control listener.
+	 * @param operation the operation
+	 * @param handler computes the answer
+	 */
+	void answer(String operation, Function<JsonNode, CompletableFuture<JsonNode>> handler);
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/time/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Injected clocks.
+ */
+@NullMarked
+package org.masticshelf.kernel.time;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP by Undertow, JSON, logs and metrics.
+ */
+@NullMarked
+package org.masticshelf.transport;
+
+import org.jspecify.annotations.NullMarked;
