Grants: keeper's ledger, daemon's account and their messages

Before: nothing. Ruled out: depositing allotment tokens continuously, because an idle daemon would need a message each fraction of a second for every organisation.

--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
@@ -0,0 +1,359 @@
+package org.masticshelf.kernel.grant;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.QualifiedName;
+
+/**
+ * What one daemon may spend for one organisation, and what it asks of the keeper.
+ * <p>
+ * Invariant: tokens come only from slices within their lives and from the allotment while
+ * it is not on loan; one exchange is under way at a time, and an answer counts only for
+ * the exchange under way, so that late and duplicate answers bring nothing. A charge is
+ * settled at most once. Not safe for use by several threads.
+ */
+public final class DaemonAccount {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	private static final long COVERED_NANOSECONDS = 2 * GrantTimes.ACTIVE_INTERVAL_NANOSECONDS;
+
+	private static final long KEPT_NANOSECONDS = 4 * GrantTimes.ACTIVE_INTERVAL_NANOSECONDS;
+
+	private static final long ENDING_SOON_NANOSECONDS = 500 * MILLISECOND;
+
+	private static final long CONTACT_NANOSECONDS = 1_000 * MILLISECOND;
+
+	private static final long LONGEST_RETRY_NANOSECONDS = 60_000 * MILLISECOND;
+
+	private final QualifiedName organisation;
+
+	private final HeldSlices slices = new HeldSlices();
+
+	private final DaemonAllotment allotment;
+
+	private final DemandForecast forecast;
+
+	private final Map<Long, OpenCharge> open = new HashMap<>();
+
+	private final PendingCredits credits = new PendingCredits();
+
+	private GrantLimits limits;
+
+	private ReportGroup group = new ReportGroup(0, 0);
+
+	private @Nullable Exchange exchange;
+
+	private @Nullable GrantAnswer lastAnswer;
+
+	private long lastAnswerAt;
+
+	private long lastSentAt;
+
+	private long sequence;
+
+	private long charges;
+
+	private long debtTokens;
+
+	private boolean left;
+
+	/**
+	 * Creates the account of a daemon that has just started.
+	 * @param organisation the organisation
+	 * @param limits its rate and burst
+	 * @param now the time in nanoseconds
+	 */
+	public DaemonAccount(QualifiedName organisation, GrantLimits limits, long now) {
+		this.organisation = organisation;
+		this.limits = limits;
+		this.allotment = new DaemonAllotment(limits);
+		this.forecast = new DemandForecast(now);
+		this.lastSentAt = now - GrantTimes.IDLE_INTERVAL_NANOSECONDS;
+	}
+
+	/**
+	 * Changes the limits from now on without refilling.
+	 * @param newLimits the limits
+	 * @param now the time in nanoseconds
+	 */
+	public void limit(GrantLimits newLimits, long now) {
+		this.limits = newLimits;
+		this.allotment.limit(newLimits, now);
+	}
+
+	/**
+	 * Notes that a request asks for tokens, once for each request.
+	 * @param tokens the tokens
+	 * @param now the time in nanoseconds
+	 */
+	public void demand(long tokens, long now) {
+		this.forecast.add(tokens, now);
+	}
+
+	/**
+	 * Charges tokens if they are here.
+	 * @param tokens the tokens
+	 * @param now the time in nanoseconds
+	 * @return the outcome
+	 */
+	public ChargeOutcome charge(long tokens, long now) {
+		if (tokens > this.limits.burstTokens()) {
+			return new ChargeOutcome.Excessive(tokens, this.limits.burstTokens());
+		}
+		payDebt(now);
+		if (this.left || this.debtTokens > 0 || heldTokens(now) < tokens) {
+			return new ChargeOutcome.Insufficient(tokens, Math.max(0, earliest(tokens, now) - now));
+		}
+		OpenCharge charge = take(Math.max(0, tokens), now);
+		this.open.put(++this.charges, charge);
+		return new ChargeOutcome.Charged(this.charges, tokens, charge.validUntil());
+	}
+
+	/**
+	 * Settles a charge with what was used of it. Unused tokens come back as far as the
+	 * buckets would not have overflowed; tokens used beyond the charge are owed.
+	 * @param charged the charge; settling it again has no effect
+	 * @param usedTokens the tokens that were used, 0 if the request was not dispatched
+	 * @param now the time in nanoseconds
+	 */
+	public void settle(ChargeOutcome.Charged charged, long usedTokens, long now) {
+		OpenCharge charge = this.open.remove(charged.number());
+		if (charge == null) {
+			return;
+		}
+		this.debtTokens += Math.max(0, usedTokens - charged.tokens());
+		long unused = Math.max(0, charged.tokens() - Math.max(0, usedTokens));
+		long toAllotment = Math.min(unused, charge.allotmentTokens());
+		TokenBucket bucket = this.allotment.usable(now);
+		if (bucket != null && bucket == charge.bucket()) {
+			bucket.credit(toAllotment, charge.chargedAt(), now);
+		}
+		this.credits.add(charge.group(), unused - toAllotment);
+	}
+
+	/**
+	 * Returns the tokens that could be charged now.
+	 * @param now the time in nanoseconds
+	 * @return the tokens
+	 */
+	public long heldTokens(long now) {
+		TokenBucket bucket = this.allotment.usable(now);
+		return this.slices.tokens(now) + ((bucket != null) ? bucket.level(now) : 0);
+	}
+
+	/**
+	 * Returns when tokens can be there at the earliest, as far as the daemon can tell; it
+	 * is optimistic while the keeper does not answer.
+	 * @param tokens the tokens, those of requests that wait before included
+	 * @param now the time in nanoseconds
+	 * @return the time in nanoseconds
+	 */
+	public long earliest(long tokens, long now) {
+		long missing = tokens + this.debtTokens - heldTokens(now);
+		GrantAnswer answer = this.lastAnswer;
+		if (missing <= 0 || answer == null || now - this.lastAnswerAt > CONTACT_NANOSECONDS) {
+			return now;
+		}
+		long beyond = missing - answer.availableTokens();
+		if (beyond <= 0) {
+			return now;
+		}
+		if (answer.tokensPerSecond() == 0) {
+			return Long.MAX_VALUE;
+		}
+		long full = this.lastAnswerAt + beyond * 1_000 / answer.tokensPerSecond() * MILLISECOND;
+		return Math.max(now, full);
+	}
+
+	/**
+	 * Returns how long a refused caller should wait before it asks again.
+	 * @param tokens the tokens that the caller lacks, those of requests before included
+	 * @param now the time in nanoseconds
+	 * @return the wait in nanoseconds, at least a second while the keeper does not answer
+	 */
+	public long retryAfter(long tokens, long now) {
+		boolean contact = this.lastAnswer != null && now - this.lastAnswerAt <= CONTACT_NANOSECONDS;
+		if (contact) {
+			return Math.max(MILLISECOND, earliest(tokens, now) - now);
+		}
+		long allotted = this.allotment.timeOf(tokens, now);
+		return Math.clamp(allotted - now, CONTACT_NANOSECONDS, LONGEST_RETRY_NANOSECONDS);
+	}
+
+	/**
+	 * Returns when the next exchange with the keeper is due.
+	 * @param minimumTokens what the first waiting request needs, 0 if none waits
+	 * @param now the time in nanoseconds
+	 * @return the time in nanoseconds, {@link Long#MAX_VALUE} while one is under way
+	 */
+	public long nextExchangeAt(long minimumTokens, long now) {
+		if (this.exchange != null) {
+			return Long.MAX_VALUE;
+		}
+		return this.lastSentAt + intervalNanoseconds(minimumTokens, now);
+	}
+
+	/**
+	 * Begins an exchange; none may be under way.
+	 * @param minimumTokens what the first waiting request needs, 0 if none waits
+	 * @param waitingTokens what all waiting requests need together
+	 * @param now the time in nanoseconds, before the request is sent
+	 * @return the request to send
+	 */
+	public GrantRequest begin(long minimumTokens, long waitingTokens, long now) {
+		if (this.exchange != null) {
+			throw new IllegalStateException("an exchange for " + this.organisation + " is under way");
+		}
+		payDebt(now);
+		long lend = lend(now);
+		giveBackSurplus(waitingTokens, now);
+		long held = heldTokens(now);
+		long minimum = (minimumTokens > 0) ? Math.max(0, minimumTokens + this.debtTokens - held) : 0;
+		long expected = this.forecast.expectedTokens(COVERED_NANOSECONDS, now);
+		long wanted = Math.max(minimum, waitingTokens + this.debtTokens + expected - held);
+		return send(new Amounts(lend, minimum, wanted, false), now);
+	}
+
+	/**
+	 * Begins the last exchange: gives everything back and spends nothing afterwards.
+	 * @param now the time in nanoseconds
+	 * @return the request to send
+	 */
+	public GrantRequest beginLeaving(long now) {
+		abandon();
+		this.left = true;
+		this.slices.giveBack(Long.MAX_VALUE, now);
+		this.allotment.adopt(0, now, now);
+		return send(new Amounts(0, 0, 0, true), now);
+	}
+
+	/**
+	 * Takes the answer of the exchange under way.
+	 * @param answer the answer; any other exchange's is ignored
+	 * @param now the time in nanoseconds
+	 * @return whether it was taken
+	 */
+	public boolean accept(GrantAnswer answer, long now) {
+		Exchange current = this.exchange;
+		GrantAnswer last = this.lastAnswer;
+		if (current == null || current.sequence() != answer.sequence()) {
+			return false;
+		}
+		if (last != null && answer.fencing() < last.fencing()) {
+			return false;
+		}
+		this.exchange = null;
+		current.group().answered(answer, now);
+		this.slices.forget(current.request().slices());
+		if (answer.sliceTokens() > 0 && !this.left) {
+			this.slices.add(answer.sequence(), answer.sliceTokens(),
+					current.sentAt() + GrantTimes.SLICE_USE_NANOSECONDS);
+		}
+		if (!this.left) {
+			this.allotment.adopt(answer.allotmentPartsPerMillion(),
+					current.sentAt() + GrantTimes.ALLOTMENT_USE_NANOSECONDS, now);
+		}
+		this.lastAnswer = answer;
+		this.lastAnswerAt = now;
+		return true;
+	}
+
+	/** Gives the exchange under way up; its answer will be ignored. */
+	public void abandon() {
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.group().abandoned();
+			this.exchange = null;
+		}
+	}
+
+	/**
+	 * Returns the sequence of the exchange under way.
+	 * @return the sequence, 0 if none is under way
+	 */
+	public long exchangeUnderWay() {
+		return (this.exchange != null) ? this.exchange.sequence() : 0;
+	}
+
+	private GrantRequest send(Amounts amounts, long now) {
+		GrantAnswer last = this.lastAnswer;
+		long fencing = (last != null) ? last.fencing() : 0;
+		long mark = (last != null) ? last.mark() : 0;
+		long acknowledged = (last != null) ? last.sequence() : 0;
+		GrantRequest request = new GrantRequest(this.organisation, ++this.sequence, acknowledged, fencing, mark,
+				amounts.lendMilliseconds(), this.slices.toReports(now), this.credits.take(fencing), amounts.minimum(),
+				amounts.wanted(), amounts.leaving());
+		this.exchange = new Exchange(this.sequence, now, this.group, request);
+		this.group = new ReportGroup(fencing, mark);
+		this.lastSentAt = now;
+		return request;
+	}
+
+	private long lend(long now) {
+		GrantAnswer last = this.lastAnswer;
+		if (last == null || !this.allotment.isHeld(now)) {
+			return 0;
+		}
+		long lend = this.forecast.isActive(now) ? GrantTimes.ACTIVE_LOAN_MILLISECONDS
+				: GrantTimes.IDLE_LOAN_MILLISECONDS;
+		long end = this.lastAnswerAt + lend * MILLISECOND;
+		if (end <= now) {
+			return 0;
+		}
+		this.credits.addAt(last, this.allotment.lend(end, now));
+		return lend;
+	}
+
+	private void giveBackSurplus(long waitingTokens, long now) {
+		this.slices.giveBackEndingBefore(now + ENDING_SOON_NANOSECONDS);
+		long kept = waitingTokens + this.forecast.expectedTokens(KEPT_NANOSECONDS, now);
+		long surplus = this.slices.tokens(now) - kept;
+		if (surplus > 0) {
+			this.slices.giveBack(surplus, now);
+		}
+	}
+
+	private long intervalNanoseconds(long minimumTokens, long now) {
+		if (minimumTokens > 0 && heldTokens(now) < minimumTokens + this.debtTokens) {
+			long wait = (this.lastAnswer != null) ? this.lastAnswer.waitMilliseconds() * MILLISECOND : 0;
+			return Math.clamp(wait, GrantTimes.URGENT_INTERVAL_NANOSECONDS, GrantTimes.ACTIVE_INTERVAL_NANOSECONDS);
+		}
+		boolean active = this.forecast.isActive(now) || this.slices.tokens(now) > 0 || !this.credits.isEmpty();
+		return active ? GrantTimes.ACTIVE_INTERVAL_NANOSECONDS : GrantTimes.IDLE_INTERVAL_NANOSECONDS;
+	}
+
+	private OpenCharge take(long tokens, long now) {
+		long fromSlices = Math.min(tokens, this.slices.tokens(now));
+		long end = this.slices.spend(fromSlices, now);
+		this.group.charged(end);
+		TokenBucket bucket = this.allotment.usable(now);
+		if (bucket != null && tokens > fromSlices) {
+			bucket.take(tokens - fromSlices, now);
+		}
+		long validUntil = Math.min(end, now + GrantTimes.SLICE_USE_NANOSECONDS);
+		return new OpenCharge(this.group, bucket, tokens - fromSlices, now, validUntil);
+	}
+
+	private void payDebt(long now) {
+		long payable = Math.min(this.debtTokens, heldTokens(now));
+		if (payable > 0) {
+			take(payable, now);
+			this.debtTokens -= payable;
+		}
+	}
+
+	private record Amounts(long lendMilliseconds, long minimum, long wanted, boolean leaving) {
+	}
+
+	private record Exchange(long sequence, long sentAt, ReportGroup group, GrantRequest request) {
+	}
+
+	private record OpenCharge(ReportGroup group, @Nullable TokenBucket bucket, long allotmentTokens, long chargedAt,
+			long validUntil) {
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAllotment.java
@@ -0,0 +1,113 @@
+package org.masticshelf.kernel.grant;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A daemon's standing allotment: spent only while it is not on loan to the keeper.
+ * <p>
+ * Invariant: nothing is spent before every loan that was ever offered has ended and the
+ * slices that the keeper may have given from it have ended too; after a loan and after a
+ * start it begins empty. Not safe for use by several threads.
+ */
+final class DaemonAllotment {
+
+	private GrantLimits limits;
+
+	private long partsPerMillion;
+
+	private long usableFrom;
+
+	private long endsAt;
+
+	private @Nullable TokenBucket bucket;
+
+	DaemonAllotment(GrantLimits limits) {
+		this.limits = limits;
+	}
+
+	/**
+	 * Adopts what the keeper said.
+	 * @param newPartsPerMillion the share in parts per million, 0 for none
+	 * @param end until when it may be used, in nanoseconds
+	 * @param now the time in nanoseconds
+	 */
+	void adopt(long newPartsPerMillion, long end, long now) {
+		if (this.partsPerMillion == 0) {
+			this.usableFrom = Math.max(this.usableFrom, now);
+		}
+		if (newPartsPerMillion != this.partsPerMillion) {
+			this.bucket = null;
+		}
+		this.partsPerMillion = newPartsPerMillion;
+		this.endsAt = end;
+	}
+
+	/**
+	 * Changes the limits without refilling.
+	 * @param newLimits the rate and burst of the organisation
+	 * @param now the time in nanoseconds
+	 */
+	void limit(GrantLimits newLimits, long now) {
+		this.limits = newLimits;
+		if (this.bucket != null) {
+			GrantLimits share = newLimits.toShare(this.partsPerMillion);
+			this.bucket.resize(share.tokensPerSecond(), share.burstTokens(), now);
+		}
+	}
+
+	/**
+	 * Lends the allotment to the keeper.
+	 * @param end when the loan ends at the latest, in nanoseconds
+	 * @param now the time in nanoseconds
+	 * @return the tokens that were in it, to be credited to the keeper
+	 */
+	long lend(long end, long now) {
+		TokenBucket usable = usable(now);
+		this.usableFrom = Math.max(this.usableFrom, end + GrantTimes.SLICE_LIFE_NANOSECONDS);
+		this.bucket = null;
+		return (usable != null) ? usable.drain(now) : 0;
+	}
+
+	/**
+	 * Returns whether there is an allotment that can be lent.
+	 * @param now the time in nanoseconds
+	 * @return whether it exists and has not run out
+	 */
+	boolean isHeld(long now) {
+		return this.partsPerMillion > 0 && now < this.endsAt;
+	}
+
+	/**
+	 * Returns the bucket to spend from.
+	 * @param now the time in nanoseconds
+	 * @return the bucket, or {@code null} while it is lent, has run out or does not exist
+	 */
+	@Nullable TokenBucket usable(long now) {
+		if (!isHeld(now) || now < this.usableFrom) {
+			return null;
+		}
+		if (this.bucket == null) {
+			this.bucket = new TokenBucket(this.limits.toShare(this.partsPerMillion), this.usableFrom);
+		}
+		return this.bucket;
+	}
+
+	/**
+	 * Returns when tokens will be there if the keeper gives none.
+	 * @param tokens the tokens
+	 * @param now the time in nanoseconds
+	 * @return the time in nanoseconds, or {@link Long#MAX_VALUE} for never
+	 */
+	long timeOf(long tokens, long now) {
+		if (!isHeld(now)) {
+			return Long.MAX_VALUE;
+		}
+		TokenBucket usable = usable(now);
+		if (usable != null) {
+			return usable.timeOf(tokens, now);
+		}
+		return new TokenBucket(this.limits.toShare(this.partsPerMillion), this.usableFrom).timeOf(tokens,
+				this.usableFrom);
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/GrantTimes.java
@@ -0,0 +1,52 @@
+package org.masticshelf.kernel.grant;
+
+import java.time.Duration;
+
+/**
+ * The durations and shares that keepers and daemons agree on.
+ * <p>
+ * Invariant: a daemon counts each life from when it sent the request and the keeper from
+ * when it answers, so the daemon's end lies before the keeper's.
+ */
+public final class GrantTimes {
+
+	/** How long a keeper counts a slice as outstanding, in nanoseconds. */
+	public static final long SLICE_LIFE_NANOSECONDS = Duration.ofMillis(2_000).toNanos();
+
+	/** How long a daemon spends from a slice, in nanoseconds. */
+	public static final long SLICE_USE_NANOSECONDS = Duration.ofMillis(1_900).toNanos();
+
+	/** How long a keeper counts an allotment after its last answer, in nanoseconds. */
+	public static final long ALLOTMENT_LIFE_NANOSECONDS = Duration.ofMinutes(60).toNanos();
+
+	/** How long a daemon uses an allotment without an answer, in nanoseconds. */
+	public static final long ALLOTMENT_USE_NANOSECONDS = Duration.ofMinutes(59).toNanos();
+
+	/** How long an active daemon lends its allotment to the keeper, in milliseconds. */
+	public static final long ACTIVE_LOAN_MILLISECONDS = 1_000;
+
+	/** How long an idle daemon lends its allotment to the keeper, in milliseconds. */
+	public static final long IDLE_LOAN_MILLISECONDS = 30_000;
+
+	/** How long after the last demand a daemon counts as active, in nanoseconds. */
+	public static final long ACTIVE_NANOSECONDS = Duration.ofMillis(5_000).toNanos();
+
+	/** The pause between exchanges of an active organisation, in nanoseconds. */
+	public static final long ACTIVE_INTERVAL_NANOSECONDS = Duration.ofMillis(125).toNanos();
+
+	/** The pause between exchanges of an idle organisation, in nanoseconds. */
+	public static final long IDLE_INTERVAL_NANOSECONDS = Duration.ofMillis(10_000).toNanos();
+
+	/** The least pause between exchanges when requests wait, in nanoseconds. */
+	public static final long URGENT_INTERVAL_NANOSECONDS = Duration.ofMillis(10).toNanos();
+
+	/** How long a waiting daemon keeps its turn without asking again, in nanoseconds. */
+	public static final long TURN_NANOSECONDS = Duration.ofMillis(400).toNanos();
+
+	/** The share of rate and burst kept for allotments, in parts per million. */
+	public static final long RESERVE_PARTS_PER_MILLION = 500_000;
+
+	private GrantTimes() {
+	}
+
+}
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/grant/GrantModelTests.java
@@ -0,0 +1,51 @@
+package org.masticshelf.kernel.grant;
+
+import com.google.common.truth.Truth;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * No window holds more than rate times its length plus burst, whatever fails.
+ */
+class GrantModelTests {
+
+	@ParameterizedTest(name = "{0}")
+	@CsvSource({ "nothing, 0, 0, 0, 0, 0, 0, 0, 0", "kills, 0.5, 0, 0, 0, 0, 0, 0, 0",
+			"freezes, 0, 0.5, 0, 0, 0, 0, 0, 0", "cuts, 0, 0, 0.6, 0, 0, 0, 0, 0",
+			"keeper moves, 0, 0, 0, 0.4, 0, 0, 0, 0", "lost messages, 0, 0, 0, 0, 0, 0.3, 0, 0",
+			"duplicates, 0, 0, 0, 0, 0, 0, 0.5, 0.1", "late messages, 0, 0, 0, 0, 0, 0, 0, 0.3",
+			"hours pass, 0.2, 0.2, 0.2, 0.2, 0.3, 0, 0, 0", "everything, 0.3, 0.3, 0.3, 0.3, 0.02, 0.1, 0.2, 0.1" })
+	void holdsInEveryWindow(String name, double kill, double freeze, double cut, double move, double pause, double lose,
+			double duplicate, double late) {
+		GrantModel.Faults faults = new GrantModel.Faults(kill, freeze, cut, move, pause, lose, duplicate, late);
+		for (long seed = 1; seed <= 40; seed++) {
+			holds(new GrantLimits(1_000, 800), faults, seed);
+			holds(new GrantLimits(50, 2_000), faults, seed);
+		}
+	}
+
+	@Property(tries = 150, seed = "7")
+	void holdsForAnyLimits(@ForAll @LongRange(min = 1, max = 100_000) long rate,
+			@ForAll @LongRange(min = 1, max = 100_000) long burst, @ForAll long seed) {
+		holds(new GrantLimits(rate, burst), new GrantModel.Faults(0.2, 0.2, 0.2, 0.2, 0.02, 0.1, 0.2, 0.1), seed);
+	}
+
+	@Property(tries = 20, seed = "7")
+	void usesMostOfTheRateWithoutFaults(@ForAll @LongRange(min = 1, max = 1_000) long seed) {
+		UsageTally tally = new GrantModel(new GrantLimits(1_000, 4_000), new GrantModel.Faults(0, 0, 0, 0, 0, 0, 0, 0),
+				seed)
+			.run(60);
+		Truth.assertThat(tally.usedTokens()).isAtLeast(40_000);
+	}
+
+	private static void holds(GrantLimits limits, GrantModel.Faults faults, long seed) {
+		UsageTally tally = new GrantModel(limits, faults, seed).run(60);
+		Truth.assertWithMessage("greatest burst of seed %s, limits %s", seed, limits)
+			.that(tally.greatestBurst(limits.tokensPerSecond()))
+			.isAtMost(limits.burstTokens());
+	}
+
+}
