--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/grant/DaemonAccountTests.java
@@ -0,0 +1,160 @@
+package org.masticshelf.kernel.grant;
+
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DaemonAccountTests {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	private static final GrantLimits LIMITS = new GrantLimits(1_000, 10_000);
+
+	private final DaemonAccount account = new DaemonAccount(GrantModel.ORGANISATION, LIMITS, 0);
+
+	private static GrantAnswer answer(long sequence, long mark, long slice, long allotment) {
+		return new GrantAnswer(GrantModel.ORGANISATION, sequence, 9, mark * MILLISECOND, slice, allotment, 0, 1_000, 0);
+	}
+
+	private GrantRequest begin(long milliseconds) {
+		return this.account.begin(0, 5_000, milliseconds * MILLISECOND);
+	}
+
+	private void exchange(long milliseconds, long slice, long allotment) {
+		GrantRequest request = begin(milliseconds);
+		this.account.accept(answer(request.sequence(), milliseconds, slice, allotment), milliseconds * MILLISECOND);
+	}
+
+	private long held(long milliseconds) {
+		return this.account.heldTokens(milliseconds * MILLISECOND);
+	}
+
+	private ChargeOutcome.Charged charge(long tokens, long milliseconds) {
+		return (ChargeOutcome.Charged) this.account.charge(tokens, milliseconds * MILLISECOND);
+	}
+
+	@Test
+	void answerOfAnEarlierExchangeIsIgnored() {
+		GrantRequest first = begin(0);
+		this.account.abandon();
+		begin(500);
+		Truth.assertThat(this.account.accept(answer(first.sequence(), 1, 50, 0), 600 * MILLISECOND)).isFalse();
+		Truth.assertThat(held(600)).isEqualTo(0);
+	}
+
+	@Test
+	void duplicateAnswerIsIgnored() {
+		GrantAnswer answer = answer(begin(0).sequence(), 1, 50, 0);
+		this.account.accept(answer, 1);
+		this.account.accept(answer, 2);
+		Truth.assertThat(held(1)).isEqualTo(50);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1899, 50", "1901, 0" })
+	void sliceLifeIsCountedFromSending(long milliseconds, long expected) {
+		GrantRequest request = begin(0);
+		this.account.accept(answer(request.sequence(), 400, 50, 0), 800 * MILLISECOND);
+		Truth.assertThat(held(milliseconds)).isEqualTo(expected);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "100, 0", "1100, 100", "30000, 1000" })
+	void allotmentStartsEmpty(long milliseconds, long expected) {
+		exchange(100, 0, 100_000);
+		Truth.assertThat(held(milliseconds)).isEqualTo(expected);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1000, 0", "3049, 0", "4050, 100" })
+	void lentAllotmentIsNotSpentBeforeTheLoanAndItsSlicesEnd(long milliseconds, long expected) {
+		this.account.demand(10, 0);
+		exchange(0, 0, 100_000);
+		exchange(50, 0, 100_000);
+		begin(100);
+		this.account.abandon();
+		Truth.assertThat(held(milliseconds)).isAtMost(expected);
+	}
+
+	@Test
+	void tokensOfTheAllotmentAreCreditedWhenItIsLent() {
+		exchange(0, 0, 100_000);
+		Truth.assertThat(begin(500).credits()).containsExactly(new GrantRequest.Credit(0, 50));
+	}
+
+	@Test
+	void nothingIsLentWithoutContact() {
+		this.account.demand(10, 0);
+		exchange(0, 0, 100_000);
+		this.account.demand(10, 2_000 * MILLISECOND);
+		Truth.assertThat(begin(2_000).lendMilliseconds()).isEqualTo(0);
+		Truth.assertThat(held(2_000)).isEqualTo(200);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "58, true", "60, false" })
+	void allotmentRunsOutWithoutContact(long minutes, boolean usable) {
+		exchange(0, 0, 100_000);
+		Truth.assertThat(held(minutes * 60_000) > 0).isEqualTo(usable);
+	}
+
+	@Test
+	void chargeIsSettledOnce() {
+		exchange(0, 100, 0);
+		ChargeOutcome.Charged charged = charge(100, 10);
+		exchange(20, 0, 0);
+		this.account.settle(charged, 40, 30 * MILLISECOND);
+		this.account.settle(charged, 40, 30 * MILLISECOND);
+		Truth.assertThat(begin(40).credits()).containsExactly(new GrantRequest.Credit(20 * MILLISECOND, 60));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "answered, 300", "abandoned, 0", "answered after the slice ended, 0" })
+	void unusedTokensAreCreditedAtAMarkBeforeTheirRelease(String exchange, long mark) {
+		exchange(0, 100, 0);
+		begin(10);
+		ChargeOutcome.Charged charged = charge(100, 20);
+		this.account.abandon();
+		GrantRequest report = begin(200);
+		long receivedAt = exchange.endsWith("ended") ? 2_000 : 300;
+		if (exchange.equals("abandoned")) {
+			this.account.abandon();
+		}
+		else {
+			this.account.accept(answer(report.sequence(), 300, 0, 0), receivedAt * MILLISECOND);
+		}
+		this.account.settle(charged, 0, receivedAt * MILLISECOND);
+		Truth.assertThat(begin(receivedAt + 1).credits())
+			.containsExactly(new GrantRequest.Credit(mark * MILLISECOND, 100));
+	}
+
+	@Test
+	void tokensUsedBeyondTheChargeAreOwed() {
+		exchange(0, 100, 0);
+		this.account.settle(charge(60, 10), 90, 20 * MILLISECOND);
+		Truth.assertThat(this.account.charge(11, 30 * MILLISECOND)).isInstanceOf(ChargeOutcome.Insufficient.class);
+		Truth.assertThat(this.account.charge(10, 30 * MILLISECOND)).isInstanceOf(ChargeOutcome.Charged.class);
+	}
+
+	@Test
+	void surplusIsGivenBack() {
+		exchange(0, 6_000, 0);
+		Truth.assertThat(begin(10).slices()).isEqualTo(List.of(new GrantRequest.SliceReport(1, 0, 1_000)));
+	}
+
+	@Test
+	void leavingDaemonSpendsNothing() {
+		exchange(0, 100, 100_000);
+		this.account.beginLeaving(10 * MILLISECOND);
+		Truth.assertThat(held(60_000)).isEqualTo(0);
+	}
+
+	@Test
+	void requestAboveTheBurstIsExcessive() {
+		Truth.assertThat(this.account.charge(10_001, 0)).isInstanceOf(ChargeOutcome.Excessive.class);
+	}
+
+}
