--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
@@ -0,0 +1,193 @@
+package org.masticshelf.transport.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import org.masticshelf.kernel.port.ExchangeFailure;
+
+/**
+ * An HTTP client on Undertow's client, which says how far a failed exchange had come.
+ * <p>
+ * Invariant: a connection carries one exchange at a time, and one that was not left clean
+ * is closed. Safe for use by several threads.
+ */
+public final class HttpClient implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+	private final XnioWorker worker;
+
+	private final boolean ownsWorker;
+
+	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+	private final IdleConnections idle = new IdleConnections();
+
+	private HttpClient(XnioWorker worker, boolean ownsWorker) {
+		this.worker = worker;
+		this.ownsWorker = ownsWorker;
+	}
+
+	/**
+	 * Creates a client that runs on an existing worker and leaves it running when closed.
+	 * @param worker the worker
+	 * @return the client
+	 */
+	public static HttpClient on(XnioWorker worker) {
+		return new HttpClient(worker, false);
+	}
+
+	/**
+	 * Creates a client with threads of its own.
+	 * @param ioThreads how many threads
+	 * @return the client
+	 */
+	public static HttpClient withThreads(int ioThreads) {
+		return new HttpClient(newWorker(ioThreads, "client"), true);
+	}
+
+	/**
+	 * Creates a worker of daemon threads.
+	 * @param ioThreads how many threads for input and output
+	 * @param name the prefix of the threads' names
+	 * @return the worker
+	 */
+	public static XnioWorker newWorker(int ioThreads, String name) {
+		try {
+			return Xnio.getInstance(HttpClient.class.getClassLoader())
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_IO_THREADS, ioThreads)
+					.set(Options.WORKER_NAME, name)
+					.set(Options.THREAD_DAEMON, true)
+					.set(Options.TCP_NODELAY, true)
+					.getMap());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("cannot start threads for input and output", ex);
+		}
+	}
+
+	/**
+	 * Makes a call and gathers the whole answer.
+	 * @param call the call
+	 * @return the answer with any status; fails with an {@link ExchangeFailure}
+	 */
+	public CompletableFuture<HttpAnswer> exchange(HttpCall call) {
+		Gathering gathering = new Gathering();
+		HttpExchange exchange = stream(call, gathering);
+		gathering.future.whenComplete((answer, failure) -> {
+			if (gathering.future.isCancelled()) {
+				exchange.cancel();
+			}
+		});
+		return gathering.future;
+	}
+
+	/**
+	 * Makes a call whose answer is given to a listener while it arrives.
+	 * @param call the call
+	 * @param listener the listener, called on a thread for input and output
+	 * @return cancels the exchange
+	 */
+	public HttpExchange stream(HttpCall call, AnswerListener listener) {
+		ClientConnection reused = call.freshConnection() ? null : this.idle.take(call.address());
+		HttpExchange exchange = new HttpExchange(call, listener, this.buffers, this.idle);
+		if (reused != null) {
+			exchange.start(reused);
+			return exchange;
+		}
+		connect(call, exchange);
+		return exchange;
+	}
+
+	private void connect(HttpCall call, HttpExchange exchange) {
+		URI destination;
+		try {
+			destination = URI.create("http://" + call.address());
+		}
+		catch (IllegalArgumentException ex) {
+			exchange.connectFailed("malformed address " + call.address());
+			return;
+		}
+		UndertowClient.getInstance().connect(new ClientCallback<>() {
+			@Override
+			public void completed(ClientConnection connection) {
+				exchange.start(connection);
+			}
+
+			@Override
+			public void failed(IOException failure) {
+				exchange.connectFailed(String.valueOf(failure.getMessage()));
+			}
+		}, destination, this.worker.getIoThread(), this.buffers,
+				OptionMap.builder().set(Options.TCP_NODELAY, true).getMap());
+	}
+
+	@Override
+	public void close() {
+		this.idle.close();
+		if (this.ownsWorker) {
+			this.worker.shutdown();
+		}
+		this.buffers.close();
+	}
+
+	/**
+	 * Gathers an answer. Called by one thread at a time.
+	 */
+	private static final class Gathering implements AnswerListener {
+
+		private final CompletableFuture<HttpAnswer> future = new CompletableFuture<>();
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		private Map<String, String> headers = Map.of();
+
+		@Override
+		public void head(int status, Map<String, String> headers) {
+			this.status = status;
+			this.headers = headers;
+		}
+
+		@Override
+		public void piece(ByteBuffer piece) {
+			byte[] bytes = new byte[piece.remaining()];
+			piece.get(bytes);
+			if (this.body.size() + bytes.length > MAXIMUM_ANSWER_BYTES) {
+				throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER,
+						"answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
+			}
+			this.body.writeBytes(bytes);
+		}
+
+		@Override
+		public void end() {
+			this.future.complete(new HttpAnswer(this.status, this.headers, this.body.toByteArray()));
+		}
+
+		@Override
+		public void failed(ExchangeFailure failure) {
+			this.future.completeExceptionally(failure);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP client and server on Undertow.
+ */
+@NullMarked
+package org.masticshelf.transport.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/json/Json.java
@@ -0,0 +1,79 @@
+package org.masticshelf.transport.json;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/**
+ * The JSON codec that all processes share. Stateless and safe for use by several threads.
+ */
+public final class Json {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.build();
+
+	private Json() {
+	}
+
+	/**
+	 * Returns the mapper, which must not be configured further.
+	 * @return the shared mapper
+	 */
+	public static ObjectMapper mapper() {
+		return MAPPER;
+	}
+
+	/**
+	 * Encodes a value.
+	 * @param value the value
+	 * @return its JSON form in UTF-8
+	 */
+	public static byte[] toBytes(Object value) {
+		try {
+			return MAPPER.writeValueAsBytes(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("no JSON form of " + value.getClass(), ex);
+		}
+	}
+
+	/**
+	 * Decodes a tree.
+	 * @param bytes one JSON value in UTF-8
+	 * @return the tree
+	 * @throws UncheckedIOException if the bytes are not one JSON value
+	 */
+	public static JsonNode toTree(byte[] bytes) {
+		try {
+			return MAPPER.readTree(bytes);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Decodes a value of a type.
+	 * @param bytes one JSON value in UTF-8
+	 * @param type the type
+	 * @param <T> the type
+	 * @return the value
+	 * @throws UncheckedIOException if the bytes do not have the form of the type
+	 */
+	public static <T> T toValue(byte[] bytes, Class<T> type) {
+		try {
+			return MAPPER.readValue(bytes, type);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/json/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The JSON codec between processes.
+ */
+@NullMarked
+package org.masticshelf.transport.json;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Structured logs through Flogger.
+ */
+@NullMarked
+package org.masticshelf.transport.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -0,0 +1,119 @@
+package org.masticshelf.transport.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.masticshelf.kernel.port.ExchangeFailure;
+import org.masticshelf.transport.json.Json;
+
+class HttpClientTests {
+
+	private static final long BOUND_SECONDS = 30;
+
+	private final HttpClient client = HttpClient.withThreads(2);
+
+	@AfterEach
+	void close() {
+		this.client.close();
+	}
+
+	@Test
+	void exchangesJsonOnReusedConnections() throws Exception {
+		try (JsonServer server = JsonServer.start("127.0.0.1", 0, 1)) {
+			server.answer("echo", CompletableFuture::completedFuture);
+			HttpPeerChannel channel = new HttpPeerChannel(this.client, server);
+			for (int round = 0; round < 50; round++) {
+				TextNode sent = TextNode.valueOf("round " + round);
+				Truth
+					.assertThat(channel.call(server.address(), "echo", sent, Duration.ofSeconds(BOUND_SECONDS))
+						.get(BOUND_SECONDS, TimeUnit.SECONDS))
+					.isEqualTo(sent);
+			}
+		}
+	}
+
+	@Test
+	void reportsUnknownOperation() throws Exception {
+		try (JsonServer server = JsonServer.start("127.0.0.1", 0, 1)) {
+			HttpAnswer answer = this.client
+				.exchange(HttpCall.postJson(server.address(), "/control/none", Json.toBytes("x")))
+				.get(BOUND_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(answer.status()).isEqualTo(404);
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(Fault.class)
+	void reportsPointOfFailure(Fault fault) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+			String address = "127.0.0.1:" + listener.getLocalPort();
+			if (fault == Fault.REFUSE_CONNECTION) {
+				listener.close();
+			}
+			else {
+				Thread.startVirtualThread(() -> fault.serve(listener));
+			}
+			HttpCall call = HttpCall.postJson(address, "/x", new byte[10]).withTimeout(Duration.ofSeconds(5));
+			Throwable failure = this.client.exchange(call)
+				.handle((answer, seen) -> seen)
+				.get(BOUND_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(failure).isInstanceOf(ExchangeFailure.class);
+			Truth.assertThat(((ExchangeFailure) failure).point()).isEqualTo(fault.point);
+		}
+	}
+
+	/** How the other side breaks an exchange and where the client has to see it. */
+	enum Fault {
+
+		REFUSE_CONNECTION(ExchangeFailure.Point.BEFORE_CONNECT, ""),
+
+		CLOSE_AFTER_REQUEST(ExchangeFailure.Point.AWAITING_ANSWER, ""),
+
+		SHORT_BODY(ExchangeFailure.Point.IN_ANSWER, "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf"),
+
+		SHORT_CHUNKS(ExchangeFailure.Point.IN_ANSWER,
+				"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+
+		private final ExchangeFailure.Point point;
+
+		private final String answer;
+
+		Fault(ExchangeFailure.Point point, String answer) {
+			this.point = point;
+			this.answer = answer;
+		}
+
+		void serve(ServerSocket listener) {
+			try (Socket socket = listener.accept()) {
+				InputStream input = socket.getInputStream();
+				StringBuilder seen = new StringBuilder();
+				while (!seen.toString().contains("\r\n\r\n")) {
+					seen.append((char) input.read());
+				}
+				input.readNBytes(10);
+				socket.getOutputStream().write(this.answer.getBytes(StandardCharsets.US_ASCII));
+				socket.getOutputStream().flush();
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+	}
+
+}
