--- /dev/null
+++ b/adapters/src/main/java/org/masticshelf/adapters/engine/EventStreamParser.java
@@ -0,0 +1,80 @@
+package org.masticshelf.adapters.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import org.masticshelf.kernel.port.ExchangeFailure;
+
+/**
+ * Splits a body of server-sent events into the data of its events.
+ * <p>
+ * Invariant: the data handed on are those of complete events only, in order. Used by one
+ * thread at a time.
+ */
+final class EventStreamParser {
+
+	private static final int MAXIMUM_LINE_BYTES = 1024 * 1024;
+
+	private static final String DATA_FIELD = "data:";
+
+	private final Consumer<String> events;
+
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+	private final StringBuilder data = new StringBuilder();
+
+	/**
+	 * Creates a parser.
+	 * @param events receives the data of each event
+	 */
+	EventStreamParser(Consumer<String> events) {
+		this.events = events;
+	}
+
+	/**
+	 * Takes a piece of the body.
+	 * @param piece the bytes
+	 * @throws ExchangeFailure if a line is longer than any event may be
+	 */
+	void take(ByteBuffer piece) {
+		while (piece.hasRemaining()) {
+			byte next = piece.get();
+			if (next == '\n') {
+				endLine();
+				continue;
+			}
+			if (this.line.size() >= MAXIMUM_LINE_BYTES) {
+				throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER, "event line above the bound");
+			}
+			this.line.write(next);
+		}
+	}
+
+	private void endLine() {
+		String text = this.line.toString(StandardCharsets.UTF_8).stripTrailing();
+		this.line.reset();
+		if (text.isEmpty()) {
+			endEvent();
+			return;
+		}
+		if (!text.startsWith(DATA_FIELD)) {
+			return;
+		}
+		if (!this.data.isEmpty()) {
+			this.data.append('\n');
+		}
+		this.data.append(text.substring(DATA_FIELD.length()).stripLeading());
+	}
+
+	private void endEvent() {
+		if (this.data.isEmpty()) {
+			return;
+		}
+		String complete = this.data.toString();
+		this.data.setLength(0);
+		this.events.accept(complete);
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/masticshelf/adapters/plain/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Plain HTTP services.
+ */
+@NullMarked
+package org.masticshelf.adapters.plain;
+
+import org.jspecify.annotations.NullMarked;
