--- /dev/null
+++ b/standins/src/main/java/org/masticshelf/standins/weightstore/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * A rate-limited weight store for tests.
+ */
+@NullMarked
+package org.masticshelf.standins.weightstore;
+
+import org.jspecify.annotations.NullMarked;
