Key-value service in memory with fault switches

Cause: every part of the control side needs a key-value service whose faults a test can switch one by one. Ruled out: mocks for each test, since they would not keep revisions, leases and watches consistent with each other. Before: only the port existed. After: a revisioned state with leases on an injected clock, and clients on one store that can each be cut, slowed, made to lose answers, or have watches dropped, doubled and delayed.

--- /dev/null
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
@@ -0,0 +1,445 @@
+package org.masticshelf.standins.keyvalue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.port.KeyValueFailure;
+import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.kernel.time.MonotonicClock;
+
+/**
+ * A key-value service in memory, with faults that tests switch.
+ * <p>
+ * The store is itself a client; {@link #client()} makes further clients whose way to the
+ * store has fault switches of its own, so that a test can cut off one daemon. Without
+ * faults a call takes effect and completes on the caller's thread, and watches report
+ * before the call returns unless another thread is reporting. Leases run by the injected
+ * clock and are looked at with each call and by {@link #expireLeases()}.
+ * <p>
+ * Invariants: calls take effect one after the other; each watch is told of changes in the
+ * order of their revisions unless a fault is switched on. Safe for use by several
+ * threads; listeners are called without any lock held.
+ */
+public final class InMemoryKeyValue implements KeyValueStore {
+
+	private final MonotonicClock clock;
+
+	private final Object lock = new Object();
+
+	private final Map<KeyValueCall, Long> calls = new EnumMap<>(KeyValueCall.class);
+
+	private final Set<ActiveWatch> watches = new LinkedHashSet<>();
+
+	private final Deque<Runnable> reports = new ArrayDeque<>();
+
+	private final KeyValueFaults faults = new KeyValueFaults(() -> breakWatches("the service is down"));
+
+	private final Client ownClient = new Client(this);
+
+	private KeyValueState state = new KeyValueState();
+
+	private boolean reporting;
+
+	/**
+	 * Creates an empty store.
+	 * @param clock the clock by which leases run
+	 */
+	public InMemoryKeyValue(MonotonicClock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Creates a further client of this store with fault switches of its own.
+	 * @return the client
+	 */
+	public Client client() {
+		return new Client(this);
+	}
+
+	/**
+	 * Returns the fault switches that hold for all clients.
+	 * @return the switches of the service
+	 */
+	public KeyValueFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Returns how often a kind of call was made by all clients, failed ones included.
+	 * @param call the kind of call
+	 * @return the number of calls
+	 */
+	public long count(KeyValueCall call) {
+		synchronized (this.lock) {
+			return this.calls.getOrDefault(call, 0L);
+		}
+	}
+
+	/**
+	 * Returns how many watches run.
+	 * @return the number of running watches
+	 */
+	public int watchCount() {
+		synchronized (this.lock) {
+			return this.watches.size();
+		}
+	}
+
+	/**
+	 * Copies the present state, to restore it later.
+	 * @return the copy
+	 */
+	public KeyValueState snapshotState() {
+		synchronized (this.lock) {
+			return this.state.copy();
+		}
+	}
+
+	/**
+	 * Puts an earlier state in place, as after a restore from a backup. Breaks all
+	 * watches.
+	 * @param earlier the state
+	 */
+	public void restore(KeyValueState earlier) {
+		synchronized (this.lock) {
+			this.state = earlier.copy();
+		}
+		breakWatches("the service was restored");
+	}
+
+	/**
+	 * Ends the leases that have run out and reports the deletions.
+	 */
+	public void expireLeases() {
+		synchronized (this.lock) {
+			long before = this.state.revision();
+			this.state.expireLeases(this.clock.nanoseconds());
+			queueReports(before);
+		}
+		report();
+	}
+
+	/**
+	 * Forgets the history up to the present revision.
+	 */
+	public void compact() {
+		synchronized (this.lock) {
+			this.state.compact(this.state.revision());
+		}
+	}
+
+	/**
+	 * Breaks all running watches.
+	 * @param reason what the listeners are told
+	 */
+	public void breakWatches(String reason) {
+		breakWatches(reason, (watch) -> true);
+	}
+
+	@Override
+	public CompletableFuture<Entry> get(String key) {
+		return this.ownClient.get(key);
+	}
+
+	@Override
+	public CompletableFuture<Snapshot> list(String prefix) {
+		return this.ownClient.list(prefix);
+	}
+
+	@Override
+	public CompletableFuture<Outcome> transact(Transaction transaction) {
+		return this.ownClient.transact(transaction);
+	}
+
+	@Override
+	public CompletableFuture<Long> grantLease(Duration timeToLive) {
+		return this.ownClient.grantLease(timeToLive);
+	}
+
+	@Override
+	public CompletableFuture<Duration> keepAlive(long lease) {
+		return this.ownClient.keepAlive(lease);
+	}
+
+	@Override
+	public CompletableFuture<Void> revokeLease(long lease) {
+		return this.ownClient.revokeLease(lease);
+	}
+
+	@Override
+	public Watch watch(String prefix, long fromRevision, WatchListener listener) {
+		return this.ownClient.watch(prefix, fromRevision, listener);
+	}
+
+	@Override
+	public void close() {
+		this.ownClient.close();
+	}
+
+	private <T> CompletableFuture<T> call(Client client, KeyValueCall call, Function<KeyValueState, T> step) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		synchronized (this.lock) {
+			this.calls.merge(call, 1L, Long::sum);
+		}
+		Runnable abandon = () -> answer
+			.completeExceptionally(new KeyValueFailure(call + ": the service went down", true));
+		Runnable atService = () -> this.faults
+			.passRequest(new KeyValueFaults.Held(() -> perform(client, call, step, answer), abandon));
+		client.faults.passRequest(new KeyValueFaults.Held(atService, abandon));
+		return answer;
+	}
+
+	private <T> void perform(Client client, KeyValueCall call, Function<KeyValueState, T> step,
+			CompletableFuture<T> answer) {
+		if (this.faults.isDown() || client.faults.isDown()) {
+			answer.completeExceptionally(new KeyValueFailure(call + ": cannot connect to the service", false));
+			return;
+		}
+		Runnable outcome;
+		synchronized (this.lock) {
+			long before = this.state.revision();
+			this.state.expireLeases(this.clock.nanoseconds());
+			outcome = outcome(call, step, answer);
+			queueReports(before);
+		}
+		report();
+		if (this.faults.losesAnswer(call) || client.faults.losesAnswer(call)) {
+			answer.completeExceptionally(new KeyValueFailure(call + ": the answer was lost", true));
+			return;
+		}
+		Runnable abandon = () -> answer
+			.completeExceptionally(new KeyValueFailure(call + ": no answer before the service went down", true));
+		Runnable atClient = () -> client.faults.passAnswer(new KeyValueFaults.Held(outcome, abandon));
+		this.faults.passAnswer(new KeyValueFaults.Held(atClient, abandon));
+	}
+
+	private <T> Runnable outcome(KeyValueCall call, Function<KeyValueState, T> step, CompletableFuture<T> answer) {
+		try {
+			T value = step.apply(this.state);
+			return () -> answer.complete(value);
+		}
+		catch (KeyValueFailure failure) {
+			return () -> answer.completeExceptionally(new KeyValueFailure(call + ": " + failure.getMessage(), false));
+		}
+	}
+
+	private void queueReports(long afterRevision) {
+		if (this.state.revision() == afterRevision) {
+			return;
+		}
+		for (ActiveWatch watch : this.watches) {
+			long from = Math.max(watch.fromRevision, afterRevision + 1);
+			for (KeyValueState.Change change : this.state.changesSince(watch.prefix, from)) {
+				this.reports.add(() -> pass(watch, change));
+			}
+		}
+	}
+
+	private void pass(ActiveWatch watch, KeyValueState.Change change) {
+		this.faults.passBatch(() -> watch.client.faults.passBatch(() -> watch.changed(change)));
+	}
+
+	private void report() {
+		while (true) {
+			Runnable next;
+			synchronized (this.lock) {
+				if (this.reporting || this.reports.isEmpty()) {
+					return;
+				}
+				next = this.reports.removeFirst();
+				this.reporting = true;
+			}
+			try {
+				next.run();
+			}
+			finally {
+				synchronized (this.lock) {
+					this.reporting = false;
+				}
+			}
+		}
+	}
+
+	private void breakWatches(String reason, Function<ActiveWatch, Boolean> selection) {
+		List<ActiveWatch> broken = new ArrayList<>();
+		synchronized (this.lock) {
+			for (ActiveWatch watch : this.watches) {
+				if (selection.apply(watch)) {
+					broken.add(watch);
+				}
+			}
+			broken.forEach(this.watches::remove);
+		}
+		broken.forEach((watch) -> watch.breakWith(reason));
+	}
+
+	private Watch start(ActiveWatch watch) {
+		String refusal;
+		synchronized (this.lock) {
+			this.calls.merge(KeyValueCall.WATCH, 1L, Long::sum);
+			refusal = refusal(watch);
+			if (refusal == null) {
+				this.watches.add(watch);
+				if (watch.fromRevision > 0) {
+					this.state.changesSince(watch.prefix, watch.fromRevision)
+						.forEach((change) -> this.reports.add(() -> pass(watch, change)));
+				}
+			}
+		}
+		if (refusal != null) {
+			watch.breakWith(refusal);
+		}
+		report();
+		return watch;
+	}
+
+	private @Nullable String refusal(ActiveWatch watch) {
+		if (this.faults.isDown() || watch.client.faults.isDown()) {
+			return "cannot connect to the service";
+		}
+		if (watch.fromRevision > 0 && watch.fromRevision <= this.state.compactedRevision()) {
+			return "revision " + watch.fromRevision + " has been compacted";
+		}
+		return null;
+	}
+
+	/**
+	 * One client's view of the store, with fault switches of its own.
+	 * <p>
+	 * Safe for use by several threads.
+	 */
+	public static final class Client implements KeyValueStore {
+
+		private final InMemoryKeyValue store;
+
+		private final KeyValueFaults faults;
+
+		private Client(InMemoryKeyValue store) {
+			this.store = store;
+			this.faults = new KeyValueFaults(
+					() -> store.breakWatches("the client is cut off", (watch) -> watch.client == this));
+		}
+
+		/**
+		 * Returns the fault switches of this client's way to the store.
+		 * @return the switches
+		 */
+		public KeyValueFaults faults() {
+			return this.faults;
+		}
+
+		@Override
+		public CompletableFuture<Entry> get(String key) {
+			return this.store.call(this, KeyValueCall.GET, (state) -> state.get(key));
+		}
+
+		@Override
+		public CompletableFuture<Snapshot> list(String prefix) {
+			return this.store.call(this, KeyValueCall.LIST,
+					(state) -> new Snapshot(state.list(prefix), state.revision()));
+		}
+
+		@Override
+		public CompletableFuture<Outcome> transact(Transaction transaction) {
+			return this.store.call(this, KeyValueCall.TRANSACT, (state) -> state.transact(transaction));
+		}
+
+		@Override
+		public CompletableFuture<Long> grantLease(Duration timeToLive) {
+			return this.store.call(this, KeyValueCall.GRANT_LEASE,
+					(state) -> state.grantLease(timeToLive, this.store.clock.nanoseconds()));
+		}
+
+		@Override
+		public CompletableFuture<Duration> keepAlive(long lease) {
+			return this.store.call(this, KeyValueCall.KEEP_ALIVE,
+					(state) -> state.keepAlive(lease, this.store.clock.nanoseconds()));
+		}
+
+		@Override
+		public CompletableFuture<Void> revokeLease(long lease) {
+			return this.store.call(this, KeyValueCall.REVOKE_LEASE, (state) -> {
+				state.revokeLease(lease);
+				return true;
+			}).thenAccept((done) -> {
+			});
+		}
+
+		@Override
+		public Watch watch(String prefix, long fromRevision, WatchListener listener) {
+			return this.store.start(new ActiveWatch(this, prefix, fromRevision, listener));
+		}
+
+		@Override
+		public void close() {
+			List<ActiveWatch> open;
+			synchronized (this.store.lock) {
+				open = this.store.watches.stream().filter((watch) -> watch.client == this).toList();
+			}
+			open.forEach(ActiveWatch::close);
+		}
+
+	}
+
+	private static final class ActiveWatch implements Watch {
+
+		private final Client client;
+
+		private final String prefix;
+
+		private final long fromRevision;
+
+		private final WatchListener listener;
+
+		private boolean ended;
+
+		private ActiveWatch(Client client, String prefix, long fromRevision, WatchListener listener) {
+			this.client = client;
+			this.prefix = prefix;
+			this.fromRevision = fromRevision;
+			this.listener = listener;
+		}
+
+		private void changed(KeyValueState.Change change) {
+			synchronized (this) {
+				if (this.ended) {
+					return;
+				}
+			}
+			this.listener.changed(change.entries(), change.revision());
+		}
+
+		private void breakWith(String reason) {
+			synchronized (this) {
+				if (this.ended) {
+					return;
+				}
+				this.ended = true;
+			}
+			this.listener.broken(new KeyValueFailure("WATCH " + this.prefix + ": " + reason, false));
+		}
+
+		@Override
+		public void close() {
+			synchronized (this) {
+				this.ended = true;
+			}
+			synchronized (this.client.store.lock) {
+				this.client.store.watches.remove(this);
+			}
+		}
+
+	}
+
+}
