--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/settings/DaemonSettings.java
@@ -0,0 +1,83 @@
+package org.masticshelf.daemon.settings;
+
+import java.net.URI;
+import java.util.List;
+
+import org.masticshelf.transport.settings.SettingsReader;
+
+/**
+ * The checked settings of a daemon. Immutable.
+ *
+ * @param instance the identifier of the instance in the platform's list
+ * @param failureDomain the failure domain of the instance
+ * @param failureDomains all failure domains, for judging majorities
+ * @param callerListener where callers connect, IP number and port
+ * @param operatorListener where probes and metrics are answered, IP number and port
+ * @param controlListener where other daemons and the operators' tool connect
+ * @param keyValueService the location of the platform's key-value service
+ * @param instanceList the location of the platform's instance list
+ * @param seedPeers control listeners of other daemons that a starting daemon asks first
+ * @param limits bounds on what callers may use
+ * @param drainMilliseconds how long a planned stop waits for requests to end
+ */
+public record DaemonSettings(String instance, String failureDomain, List<String> failureDomains, String callerListener,
+		String operatorListener, String controlListener, URI keyValueService, URI instanceList, List<String> seedPeers,
+		Limits limits, long drainMilliseconds) {
+
+	private static final long MAXIMUM_BODY_BYTES = 64L * 1024 * 1024;
+
+	private static final long DEFAULT_BODY_BYTES = 1024 * 1024;
+
+	private static final long DEFAULT_HEADER_BYTES = 32 * 1024;
+
+	private static final long DEFAULT_CONNECTIONS = 10_000;
+
+	private static final long DEFAULT_WAITING = 10_000;
+
+	private static final long DEFAULT_IO_THREADS = 4;
+
+	private static final long DEFAULT_DRAIN_MILLISECONDS = 60_000;
+
+	/**
+	 * Reads settings.
+	 * @param reader the opened file
+	 * @return the settings
+	 * @throws org.masticshelf.transport.settings.SettingsException with every mistake
+	 */
+	public static DaemonSettings read(SettingsReader reader) {
+		DaemonSettings settings = new DaemonSettings(reader.text("instance", null), reader.text("failureDomain", null),
+				reader.texts("failureDomains", true), reader.address("callerListener"),
+				reader.address("operatorListener"), reader.address("controlListener"),
+				reader.location("keyValueService"), reader.location("instanceList"),
+				reader.addresses("seedPeers", false), Limits.read(reader),
+				reader.number("drainMilliseconds", 0, 3_600_000, DEFAULT_DRAIN_MILLISECONDS));
+		if (!settings.failureDomains().isEmpty() && !settings.failureDomains().contains(settings.failureDomain())) {
+			reader.mistake("failureDomain", "'" + settings.failureDomain() + "' is not among failureDomains");
+		}
+		reader.finish();
+		return settings;
+	}
+
+	/**
+	 * Bounds on what callers may use.
+	 *
+	 * @param maximumBodyBytes the largest body of a request in bytes
+	 * @param maximumHeaderBytes the largest header of a request in bytes
+	 * @param maximumConnections the most connections of callers
+	 * @param maximumWaiting the most waiting requests of a pool
+	 * @param ioThreads threads for input and output
+	 */
+	public record Limits(long maximumBodyBytes, int maximumHeaderBytes, int maximumConnections, int maximumWaiting,
+			int ioThreads) {
+
+		private static Limits read(SettingsReader reader) {
+			return new Limits(reader.number("maximumBodyBytes", 1024, MAXIMUM_BODY_BYTES, DEFAULT_BODY_BYTES),
+					(int) reader.number("maximumHeaderBytes", 1024, 1024 * 1024, DEFAULT_HEADER_BYTES),
+					(int) reader.number("maximumConnections", 1, 1_000_000, DEFAULT_CONNECTIONS),
+					(int) reader.number("maximumWaiting", 1, 1_000_000, DEFAULT_WAITING),
+					(int) reader.number("ioThreads", 1, 256, DEFAULT_IO_THREADS));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Settings of the daemon.
+ */
+@NullMarked
+package org.masticshelf.daemon.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/settings/SettingsException.java
@@ -0,0 +1,32 @@
+package org.masticshelf.transport.settings;
+
+import java.util.List;
+
+/**
+ * Settings with mistakes. Immutable.
+ */
+public final class SettingsException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final transient List<String> mistakes;
+
+	/**
+	 * Creates an exception.
+	 * @param mistakes one line for each mistake, with the file, the JSON path and the
+	 * reason
+	 */
+	public SettingsException(List<String> mistakes) {
+		super(String.join(System.lineSeparator(), mistakes));
+		this.mistakes = List.copyOf(mistakes);
+	}
+
+	/**
+	 * Returns all mistakes.
+	 * @return one line for each
+	 */
+	public List<String> mistakes() {
+		return this.mistakes;
+	}
+
+}
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/settings/SettingsReader.java
@@ -0,0 +1,248 @@
+package org.masticshelf.transport.settings;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.transport.json.Json;
+
+/**
+ * Reads the fields of a JSON settings file and gathers every mistake before it fails.
+ * <p>
+ * Invariant: after {@link #finish()} has returned, every field read was present or had a
+ * default, had the right type and range, and no other field was in the file. Used by one
+ * thread.
+ */
+public final class SettingsReader {
+
+	private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):\\d{1,5}");
+
+	private static final int HIGHEST_PORT = 65535;
+
+	private static final String PLACEHOLDER_ADDRESS = "0.0.0.0:0";
+
+	private final String file;
+
+	private final ObjectNode root;
+
+	private final List<String> mistakes = new ArrayList<>();
+
+	private final Set<String> known = new HashSet<>();
+
+	private SettingsReader(String file, ObjectNode root) {
+		this.file = file;
+		this.root = root;
+	}
+
+	/**
+	 * Opens a settings file.
+	 * @param file the path of the file
+	 * @return the reader
+	 * @throws SettingsException if the file cannot be read or is not a JSON object
+	 */
+	public static SettingsReader of(Path file) {
+		try {
+			return of(file.toString(), Files.readString(file));
+		}
+		catch (IOException ex) {
+			throw new SettingsException(List.of(file + ": cannot be read: " + ex.getMessage()));
+		}
+	}
+
+	/**
+	 * Opens settings.
+	 * @param file the name of the file, for messages
+	 * @param text the content of the file
+	 * @return the reader
+	 * @throws SettingsException if the text is not a JSON object
+	 */
+	public static SettingsReader of(String file, String text) {
+		try {
+			JsonNode tree = Json.mapper().readTree(text);
+			if (tree instanceof ObjectNode object) {
+				return new SettingsReader(file, object);
+			}
+			throw new SettingsException(List.of(file + ": $: must be a JSON object"));
+		}
+		catch (JsonProcessingException ex) {
+			throw new SettingsException(List.of(file + ": $: malformed JSON at line " + ex.getLocation().getLineNr()
+					+ ", column " + ex.getLocation().getColumnNr() + ": " + ex.getOriginalMessage()));
+		}
+	}
+
+	/**
+	 * Reads a text.
+	 * @param name the name of the field
+	 * @param fallback the default, or {@code null} if the field is required
+	 * @return the text
+	 */
+	public String text(String name, @Nullable String fallback) {
+		JsonNode node = field(name, fallback != null);
+		if (node == null) {
+			return (fallback != null) ? fallback : "";
+		}
+		if (!node.isTextual() || node.asText().isBlank()) {
+			mistake(name, "must be a text that is not blank");
+			return "";
+		}
+		return node.asText();
+	}
+
+	/**
+	 * Reads an address of an IP number and a port.
+	 * @param name the name of the field
+	 * @return the address
+	 */
+	public String address(String name) {
+		String text = text(name, null);
+		if (text.isEmpty()) {
+			return PLACEHOLDER_ADDRESS;
+		}
+		return isAddress(text) ? text : wrongAddress(name, text);
+	}
+
+	private String wrongAddress(String path, String text) {
+		mistake(path, "'" + text + "' must be an IP number and a port, for example 127.0.0.1:8080");
+		return PLACEHOLDER_ADDRESS;
+	}
+
+	private static boolean isAddress(String text) {
+		if (!ADDRESS.matcher(text).matches()) {
+			return false;
+		}
+		return Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)) <= HIGHEST_PORT;
+	}
+
+	/**
+	 * Reads a location of an outside system.
+	 * @param name the name of the field
+	 * @return the location
+	 */
+	public URI location(String name) {
+		String text = text(name, null);
+		try {
+			URI location = URI.create(text);
+			if (!text.isEmpty() && location.getScheme() == null) {
+				mistake(name, "'" + text + "' must begin with a scheme, for example etcd://127.0.0.1:2379");
+			}
+			return location;
+		}
+		catch (IllegalArgumentException ex) {
+			mistake(name, "'" + text + "' is not a location");
+			return URI.create("");
+		}
+	}
+
+	/**
+	 * Reads a whole number.
+	 * @param name the name of the field
+	 * @param minimum the least value
+	 * @param maximum the greatest value
+	 * @param fallback the value if the field is absent
+	 * @return the number
+	 */
+	public long number(String name, long minimum, long maximum, long fallback) {
+		JsonNode node = field(name, true);
+		if (node == null) {
+			return fallback;
+		}
+		if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+			mistake(name, "must be a whole number");
+			return fallback;
+		}
+		long value = node.asLong();
+		if (value < minimum || value > maximum) {
+			mistake(name, value + " is out of range, must be from " + minimum + " to " + maximum);
+			return fallback;
+		}
+		return value;
+	}
+
+	/**
+	 * Reads a list of texts.
+	 * @param name the name of the field
+	 * @param required whether at least one is needed
+	 * @return the texts
+	 */
+	public List<String> texts(String name, boolean required) {
+		JsonNode node = field(name, !required);
+		if (node == null) {
+			return List.of();
+		}
+		if (!node.isArray() || (required && node.isEmpty())) {
+			mistake(name, required ? "must be a list of at least one text" : "must be a list of texts");
+			return List.of();
+		}
+		List<String> texts = new ArrayList<>();
+		for (int index = 0; index < node.size(); index++) {
+			JsonNode item = node.get(index);
+			if (!item.isTextual() || item.asText().isBlank()) {
+				mistake(name + "[" + index + "]", "must be a text that is not blank");
+				continue;
+			}
+			texts.add(item.asText());
+		}
+		return List.copyOf(texts);
+	}
+
+	/**
+	 * Reads a list of addresses.
+	 * @param name the name of the field
+	 * @param required whether at least one is needed
+	 * @return the addresses
+	 */
+	public List<String> addresses(String name, boolean required) {
+		List<String> texts = texts(name, required);
+		for (int index = 0; index < texts.size(); index++) {
+			if (!isAddress(texts.get(index))) {
+				wrongAddress(name + "[" + index + "]", texts.get(index));
+			}
+		}
+		return texts;
+	}
+
+	/**
+	 * Records a mistake that only several fields together show.
+	 * @param path the JSON path without its leading {@code $.}
+	 * @param reason what is wrong
+	 */
+	public void mistake(String path, String reason) {
+		this.mistakes.add(this.file + ": $." + path + ": " + reason);
+	}
+
+	/**
+	 * Ends the reading.
+	 * @throws SettingsException if there was any mistake or an unknown field
+	 */
+	public void finish() {
+		this.root.fieldNames().forEachRemaining((name) -> {
+			if (!this.known.contains(name)) {
+				mistake(name, "unknown field");
+			}
+		});
+		if (!this.mistakes.isEmpty()) {
+			throw new SettingsException(this.mistakes);
+		}
+	}
+
+	private @Nullable JsonNode field(String name, boolean optional) {
+		this.known.add(name);
+		JsonNode node = this.root.get(name);
+		if (node == null && !optional) {
+			mistake(name, "missing");
+		}
+		return node;
+	}
+
+}
--- /dev/null
+++ b/transport/src/main/java/org/masticshelf/transport/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Reading and checking of JSON settings.
+ */
+@NullMarked
+package org.masticshelf.transport.settings;
+
+import org.jspecify.annotations.NullMarked;
