--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
@@ -0,0 +1,121 @@
+package org.masticshelf.kernel.queue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The waiting requests of one organisation by lane, and its deficit.
+ * <p>
+ * Invariant: no lane in the map is empty. Not safe for use by several threads; guarded by
+ * the lock of the queue's shard.
+ *
+ * @param <T> the type of the item
+ */
+final class OrganisationQueue<T> {
+
+	private final Map<String, NavigableMap<Long, Waiting<T>>> lanes = new HashMap<>();
+
+	private final NavigableMap<Long, Waiting<T>> all = new TreeMap<>();
+
+	private final Map<String, Long> costs = new HashMap<>();
+
+	private long deficit;
+
+	private int weight = 1;
+
+	void add(Waiting<T> waiting) {
+		this.weight = waiting.weight();
+		this.all.put(waiting.sequence(), waiting);
+		this.lanes.computeIfAbsent(waiting.lane(), (lane) -> new TreeMap<>()).put(waiting.sequence(), waiting);
+		this.costs.merge(waiting.lane(), waiting.costTokens(), Long::sum);
+	}
+
+	boolean remove(Waiting<T> waiting) {
+		if (!this.all.remove(waiting.sequence(), waiting)) {
+			return false;
+		}
+		NavigableMap<Long, Waiting<T>> lane = this.lanes.get(waiting.lane());
+		if (lane == null) {
+			throw new IllegalStateException("lane " + waiting.lane() + " of a waiting request is missing");
+		}
+		lane.remove(waiting.sequence());
+		this.costs.merge(waiting.lane(), -waiting.costTokens(), Long::sum);
+		if (lane.isEmpty()) {
+			this.lanes.remove(waiting.lane());
+			this.costs.remove(waiting.lane());
+		}
+		return true;
+	}
+
+	/**
+	 * Finds the earliest request that is first of its lane and ready.
+	 * @param readiness tells whether a request can be dispatched now
+	 * @param observer told the readiness that was seen for each lane
+	 * @return the request or {@code null} if no lane is ready
+	 */
+	@Nullable Waiting<T> firstReady(Function<Waiting<T>, Readiness> readiness, BiConsumer<String, Readiness> observer) {
+		Waiting<T> best = null;
+		for (NavigableMap<Long, Waiting<T>> lane : this.lanes.values()) {
+			Waiting<T> head = lane.firstEntry().getValue();
+			if (best != null && best.sequence() < head.sequence()) {
+				continue;
+			}
+			Readiness state = readiness.apply(head);
+			observer.accept(head.lane(), state);
+			if (state == Readiness.READY) {
+				best = head;
+			}
+		}
+		return best;
+	}
+
+	/**
+	 * Returns how many rounds have to pass until a cost is covered.
+	 * @param costTokens the cost in tokens
+	 * @param quantumTokens the gain of weight 1 per round in tokens
+	 * @return rounds, 0 if the deficit covers it now
+	 */
+	long roundsUntil(long costTokens, long quantumTokens) {
+		long missing = costTokens - this.deficit;
+		return (missing <= 0) ? 0 : Math.ceilDiv(missing, quantumTokens * this.weight);
+	}
+
+	void gain(long rounds, long quantumTokens) {
+		this.deficit += rounds * quantumTokens * this.weight;
+	}
+
+	void spend(long costTokens) {
+		this.deficit -= costTokens;
+	}
+
+	long costOf(String lane) {
+		return this.costs.getOrDefault(lane, 0L);
+	}
+
+	Waiting<T> newest() {
+		return this.all.lastEntry().getValue();
+	}
+
+	int size() {
+		return this.all.size();
+	}
+
+	int weight() {
+		return this.weight;
+	}
+
+	boolean isEmpty() {
+		return this.all.isEmpty();
+	}
+
+	Iterable<Waiting<T>> waiting() {
+		return this.all.values();
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/Waiting.java
@@ -0,0 +1,130 @@
+package org.masticshelf.kernel.queue;
+
+import org.masticshelf.kernel.configuration.QualifiedName;
+
+/**
+ * A request that waits in a {@link FairQueue}.
+ * <p>
+ * Immutable as far as its item is. Equal only to itself.
+ *
+ * @param <T> the type of the item
+ */
+public final class Waiting<T> {
+
+	private final Candidate<T> candidate;
+
+	private final long arrived;
+
+	private final long sequence;
+
+	Waiting(Candidate<T> candidate, long arrived, long sequence) {
+		this.candidate = candidate;
+		this.arrived = arrived;
+		this.sequence = sequence;
+	}
+
+	/**
+	 * Returns the item.
+	 * @return what was offered
+	 */
+	public T item() {
+		return this.candidate.item();
+	}
+
+	/**
+	 * Returns the organisation.
+	 * @return the organisation that the request is queued under
+	 */
+	public QualifiedName organisation() {
+		return this.candidate.organisation();
+	}
+
+	/**
+	 * Returns the lane.
+	 * @return what has to be available to serve the request
+	 */
+	public String lane() {
+		return this.candidate.lane();
+	}
+
+	/**
+	 * Returns the weight of the organisation.
+	 * @return the weight, 1 or more
+	 */
+	public int weight() {
+		return this.candidate.weight();
+	}
+
+	/**
+	 * Returns the cost.
+	 * @return the cost in tokens, 1 or more
+	 */
+	public long costTokens() {
+		return this.candidate.costTokens();
+	}
+
+	/**
+	 * Returns the deadline.
+	 * @return the monotonic reading in nanoseconds by which the request is served or
+	 * refused
+	 */
+	public long deadline() {
+		return this.candidate.deadline();
+	}
+
+	/**
+	 * Returns when the request came.
+	 * @return the monotonic reading in nanoseconds
+	 */
+	public long arrived() {
+		return this.arrived;
+	}
+
+	/**
+	 * Returns the place in the order of arrival.
+	 * @return a number that is higher for later requests of the same queue
+	 */
+	public long sequence() {
+		return this.sequence;
+	}
+
+	@Override
+	public String toString() {
+		return organisation() + " " + lane() + " #" + this.sequence;
+	}
+
+	/**
+	 * A request that is offered to a queue.
+	 *
+	 * @param item the item
+	 * @param organisation the organisation that the request is queued under
+	 * @param weight the share of the organisation relative to others, 1 or more
+	 * @param lane what has to be available to serve the request, such as the name of its
+	 * loadable; requests of one organisation and lane are served in order
+	 * @param costTokens the cost in tokens, 1 or more
+	 * @param deadline the monotonic reading in nanoseconds by which the request has to be
+	 * served or refused
+	 * @param <T> the type of the item
+	 */
+	public record Candidate<T>(T item, QualifiedName organisation, int weight, String lane, long costTokens,
+			long deadline) {
+
+		/**
+		 * Creates a candidate.
+		 * @param item the item
+		 * @param organisation the organisation
+		 * @param weight the share of the organisation, 1 or more
+		 * @param lane what has to be available
+		 * @param costTokens the cost in tokens, 1 or more
+		 * @param deadline the monotonic reading in nanoseconds
+		 */
+		public Candidate {
+			if (weight < 1 || costTokens < 1) {
+				throw new IllegalArgumentException(
+						"weight " + weight + " and cost " + costTokens + " must be positive");
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/retry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decisions about trying a failed request again.
+ */
+@NullMarked
+package org.masticshelf.kernel.retry;
+
+import org.jspecify.annotations.NullMarked;
