--- a/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
@@ -106,6 +106,21 @@
 	/** Why a request is refused. */
 	public enum Reason {
 
+		/** The request is not of the form that the route takes. */
+		MALFORMED_REQUEST(400),
+
+		/** The body is larger than the daemon takes. */
+		BODY_TOO_LARGE(413),
+
+		/** No route has the name, or none that the caller may know of. */
+		ROUTE_UNKNOWN(404),
+
+		/** The route needs a key and none came. */
+		KEY_MISSING(401),
+
+		/** The key was never issued, has expired or was withdrawn. */
+		KEY_REJECTED(401),
+
 		/** The queue holds as many requests as it may. */
 		QUEUE_FULL(503),
 
@@ -157,6 +172,9 @@
 		/** An earlier attempt with the idempotency key has no known outcome. */
 		OUTCOME_UNKNOWN(409),
 
+		/** The caller closed its connection. */
+		CALLER_GONE(499),
+
 		/** This daemon is about to stop. */
 		DRAINING(503),
 
