--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Queues of requests before pools and their dispatch to endpoints.
+ */
+@NullMarked
+package org.masticshelf.daemon.dispatch;
+
+import org.jspecify.annotations.NullMarked;
