Stream assembly, and tests of queue, routing and retry

Writing the fairness properties showed a fault in the first version of the queue: the organisation at the cursor won each tie of a round, so that with equal costs the other one waited for its whole backlog (seen: 282720 tokens served before a request of 39 tokens, bound 1480; shares 3000 to 0). Ruled out: a smaller quantum, which only shrinks the effect. Stream assembly forwards pieces by identity and place and says whole only with the final event and the counted length; checked against 2000 random cuts, losses, repeats and mixed-up pieces.

--- a/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
@@ -183,16 +183,25 @@
 	private @Nullable Turn nextTurn(TreeMap<Integer, Waiting<T>> heads) {
 		Turn best = null;
 		for (Map.Entry<Integer, Waiting<T>> head : heads.entrySet()) {
-			long rounds = queueAt(head.getKey()).roundsUntil(head.getValue().costTokens(), this.bounds.quantumTokens());
-			if (best == null || rounds < best.rounds()) {
-				best = new Turn(head.getKey(), rounds);
+			int position = head.getKey();
+			long rounds = queueAt(position).roundsUntil(head.getValue().costTokens(), this.bounds.quantumTokens());
+			Turn turn = new Turn(position, rounds, order(position, rounds));
+			if (best == null || turn.isBefore(best)) {
+				best = turn;
 			}
 		}
 		return best;
 	}
 
+	// The organisation at the cursor has had its gain of this round, so that its next one
+	// comes after that of all others.
+	private int order(int position, long rounds) {
+		return (position == 0 && rounds > 0) ? this.ring.size() : position;
+	}
+
 	private void gain(int position, Turn turn) {
-		long rounds = (position <= turn.position()) ? turn.rounds() : Math.max(turn.rounds() - 1, 0);
+		boolean visited = order(position, turn.rounds()) <= turn.order();
+		long rounds = visited ? turn.rounds() : Math.max(turn.rounds() - 1, 0);
 		queueAt(position).gain(rounds, this.bounds.quantumTokens());
 	}
 
@@ -327,8 +336,13 @@
 	 *
 	 * @param position the position of the organisation from the cursor
 	 * @param rounds how many rounds pass until its deficit covers its request
+	 * @param order its place in the last of these rounds
 	 */
-	private record Turn(int position, long rounds) {
+	private record Turn(int position, long rounds, int order) {
+
+		boolean isBefore(Turn other) {
+			return this.rounds < other.rounds || (this.rounds == other.rounds && this.order < other.order);
+		}
 
 		<T> Waiting<T> waiting(TreeMap<Integer, Waiting<T>> heads) {
 			Waiting<T> waiting = heads.get(this.position);
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/queue/FairQueueTests.java
@@ -0,0 +1,232 @@
+package org.masticshelf.kernel.queue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Function;
+
+import com.google.common.truth.Truth;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.refusal.Refusal;
+
+class FairQueueTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final QualifiedName LARGE = QualifiedName.of("sofia/large");
+
+	private static final QualifiedName SMALL = QualifiedName.of("sofia/small");
+
+	private static final long QUANTUM = 500;
+
+	private final FairQueue<Integer> queue = new FairQueue<>(new QueueBounds(100, QUANTUM));
+
+	@Property(tries = 300, seed = "5")
+	void smallOrganisationWaitsIndependentlyOfBacklog(@ForAll @IntRange(min = 1, max = 2_000) int backlog,
+			@ForAll @LongRange(min = 1, max = 4_000) long largeCost,
+			@ForAll @LongRange(min = 1, max = 4_000) long smallCost, @ForAll @IntRange(max = 20) int polledBefore) {
+		FairQueue<Integer> fair = new FairQueue<>(new QueueBounds(10_000, QUANTUM));
+		for (int index = 0; index < backlog; index++) {
+			fair.offer(candidate(index, LARGE, "a", largeCost), Forecast.NOW, 0);
+		}
+		for (int index = 0; index < polledBefore; index++) {
+			fair.poll(0, (waiting) -> Readiness.READY);
+		}
+		fair.offer(candidate(-1, SMALL, "a", smallCost), Forecast.NOW, 0);
+		long servedBefore = 0;
+		for (Waiting<Integer> next = poll(fair); !next.organisation().equals(SMALL); next = poll(fair)) {
+			servedBefore += next.costTokens();
+		}
+		long rounds = Math.ceilDiv(smallCost, QUANTUM);
+		Truth.assertThat(servedBefore).isAtMost((rounds + 1) * QUANTUM + largeCost);
+	}
+
+	@Property(tries = 100, seed = "5")
+	void sharesByWeightInTokens(@ForAll @IntRange(min = 1, max = 8) int weight,
+			@ForAll @LongRange(min = 1, max = 900) long firstCost,
+			@ForAll @LongRange(min = 1, max = 900) long secondCost) {
+		FairQueue<Integer> fair = new FairQueue<>(new QueueBounds(10_000, QUANTUM));
+		for (int index = 0; index < 3_000; index++) {
+			fair.offer(new Waiting.Candidate<>(index, LARGE, weight, "a", firstCost, SECOND), Forecast.NOW, 0);
+			fair.offer(new Waiting.Candidate<>(index, SMALL, 1, "a", secondCost, SECOND), Forecast.NOW, 0);
+		}
+		Map<QualifiedName, Long> served = new HashMap<>();
+		while (fair.sizeOf(LARGE) > 0 && fair.sizeOf(SMALL) > 0) {
+			Waiting<Integer> next = poll(fair);
+			served.merge(next.organisation(), next.costTokens(), Long::sum);
+		}
+		double difference = served.getOrDefault(LARGE, 0L) / (double) weight - served.getOrDefault(SMALL, 0L);
+		Truth.assertThat(Math.abs(difference)).isAtMost(2.0 * QUANTUM + firstCost + secondCost);
+	}
+
+	@Property(tries = 300, seed = "5")
+	void eachRequestLeavesExactlyOnce(@ForAll long seed) {
+		Random random = new Random(seed);
+		FairQueue<Integer> fair = new FairQueue<>(new QueueBounds(20, QUANTUM));
+		Map<Integer, Integer> departures = new HashMap<>();
+		List<Waiting<Integer>> present = new ArrayList<>();
+		for (int step = 0; step < 300; step++) {
+			operate(fair, random, step, departures, present);
+		}
+		fair.expire(Long.MAX_VALUE / 2).forEach((waiting) -> departures.merge(waiting.item(), 1, Integer::sum));
+		Truth.assertThat(fair.size()).isEqualTo(0);
+		Truth.assertThat(departures.values()).doesNotContain(2);
+		Truth.assertThat(departures.keySet()).containsExactlyElementsIn(present.stream().map(Waiting::item).toList());
+	}
+
+	private static void operate(FairQueue<Integer> fair, Random random, int step, Map<Integer, Integer> departures,
+			List<Waiting<Integer>> present) {
+		switch (random.nextInt(5)) {
+			case 0, 1 -> {
+				QualifiedName organisation = (random.nextInt(3) > 0) ? LARGE : SMALL;
+				Waiting.Candidate<Integer> offered = new Waiting.Candidate<>(step, organisation, 1,
+						"lane" + random.nextInt(3), 1 + random.nextInt(2_000), step + random.nextInt(100));
+				if (fair.offer(offered, Forecast.NOW, step) instanceof Admission.Queued<Integer> queued) {
+					present.add(queued.waiting());
+					depart(queued.displaced(), departures);
+				}
+			}
+			case 2 -> depart(fair.poll(step, (waiting) -> Readiness.values()[random.nextInt(2)]), departures);
+			case 3 -> fair.expire(step).forEach((waiting) -> depart(waiting, departures));
+			default -> {
+				Waiting<Integer> any = present.isEmpty() ? null : present.get(random.nextInt(present.size()));
+				if (any != null && fair.remove(any)) {
+					depart(any, departures);
+				}
+			}
+		}
+	}
+
+	private static void depart(@Nullable Waiting<Integer> waiting, Map<Integer, Integer> departures) {
+		if (waiting != null) {
+			departures.merge(waiting.item(), 1, Integer::sum);
+		}
+	}
+
+	@ParameterizedTest
+	@EnumSource(names = "READY", mode = EnumSource.Mode.EXCLUDE)
+	void blockedLaneHoldsUpNeitherItsOrganisationNorOthers(Readiness state) {
+		offer(1, LARGE, "blocked", 1);
+		offer(2, LARGE, "open", 1);
+		offer(3, SMALL, "blocked", 1);
+		offer(4, SMALL, "open", 1);
+		Function<Waiting<Integer>, Readiness> readiness = (waiting) -> waiting.lane().equals("open") ? Readiness.READY
+				: state;
+		List<Integer> served = new ArrayList<>();
+		for (Waiting<Integer> next = this.queue.poll(0, readiness); next != null; next = this.queue.poll(0,
+				readiness)) {
+			served.add(next.item());
+		}
+		Truth.assertThat(served).containsExactly(2, 4);
+		Truth.assertThat(this.queue.size()).isEqualTo(2);
+	}
+
+	@Test
+	void servesLaneInOrder() {
+		offer(1, LARGE, "a", 900);
+		offer(2, LARGE, "a", 1);
+		Truth.assertThat(poll(this.queue).item()).isEqualTo(1);
+		Truth.assertThat(poll(this.queue).item()).isEqualTo(2);
+	}
+
+	@Test
+	void restoredRequestKeepsItsPlace() {
+		offer(1, LARGE, "a", 900);
+		offer(2, LARGE, "a", 1);
+		this.queue.restore(poll(this.queue));
+		Truth.assertThat(poll(this.queue).item()).isEqualTo(1);
+	}
+
+	@Test
+	void fullQueueDisplacesNewestOfLargestOrganisation() {
+		for (int index = 0; index < 100; index++) {
+			offer(index, LARGE, "a", 1);
+		}
+		Admission<Integer> admission = offer(100, SMALL, "a", 1);
+		Truth.assertThat(admission).isInstanceOf(Admission.Queued.class);
+		Waiting<Integer> displaced = ((Admission.Queued<Integer>) admission).displaced();
+		Truth.assertThat((displaced != null) ? displaced.item() : null).isEqualTo(99);
+		Truth.assertThat(this.queue.size()).isEqualTo(100);
+	}
+
+	@Test
+	void fullQueueRefusesTheLargestOrganisationItself() {
+		for (int index = 0; index < 100; index++) {
+			offer(index, LARGE, "a", 1);
+		}
+		Truth.assertThat(reason(offer(100, LARGE, "a", 1))).isEqualTo(Refusal.Reason.QUEUE_FULL);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "COLD, 0", "COLD, 5", "RATE_EXCEEDED, 0" })
+	void refusesEarlyWhatCannotStartInTime(Refusal.Reason cause, long serviceSeconds) {
+		Forecast forecast = new Forecast((11 - serviceSeconds) * SECOND, serviceSeconds * SECOND, cause);
+		Admission<Integer> admission = this.queue.offer(candidate(1, SMALL, "a", 1), forecast, 0);
+		Truth.assertThat(reason(admission)).isEqualTo(cause);
+		Truth.assertThat(((Admission.Refused<Integer>) admission).refusal().retryAfterMilliseconds())
+			.isEqualTo((11 - serviceSeconds) * 1_000);
+	}
+
+	@Test
+	void refusesEarlyByMeasuredServiceRateButNotTheSmallOrganisation() {
+		serveAtTokensPerSecond(100);
+		for (int index = 0; index < 12; index++) {
+			offer(index, LARGE, "a", 100);
+		}
+		Truth.assertThat(reason(offer(99, LARGE, "a", 100))).isEqualTo(Refusal.Reason.DEADLINE_UNREACHABLE);
+		Truth.assertThat(offer(100, SMALL, "a", 100)).isInstanceOf(Admission.Queued.class);
+	}
+
+	private void serveAtTokensPerSecond(long rate) {
+		for (int index = 0; index < 10; index++) {
+			this.queue.offer(new Waiting.Candidate<>(index, LARGE, 1, "a", rate, 1_000 * SECOND), Forecast.NOW, 0);
+		}
+		for (int second = 0; second < 10; second++) {
+			this.queue.poll(-(10 - second) * SECOND, (waiting) -> Readiness.FULL);
+			this.queue.poll(-(9 - second) * SECOND, (waiting) -> Readiness.READY);
+		}
+	}
+
+	@Test
+	void expiresInOrderOfDeadlines() {
+		this.queue.offer(new Waiting.Candidate<>(1, LARGE, 1, "a", 1, 30), Forecast.NOW, 0);
+		this.queue.offer(new Waiting.Candidate<>(2, SMALL, 1, "a", 1, 20), Forecast.NOW, 0);
+		this.queue.offer(new Waiting.Candidate<>(3, SMALL, 1, "a", 1, 40), Forecast.NOW, 0);
+		Truth.assertThat(this.queue.nextDeadline()).isEqualTo(20);
+		Truth.assertThat(this.queue.expire(30).stream().map(Waiting::item).toList()).containsExactly(2, 1).inOrder();
+		Truth.assertThat(this.queue.size()).isEqualTo(1);
+	}
+
+	private Admission<Integer> offer(int item, QualifiedName organisation, String lane, long cost) {
+		return this.queue.offer(candidate(item, organisation, lane, cost), Forecast.NOW, 0);
+	}
+
+	private static Waiting.Candidate<Integer> candidate(int item, QualifiedName organisation, String lane, long cost) {
+		return new Waiting.Candidate<>(item, organisation, 1, lane, cost, 10 * SECOND);
+	}
+
+	private static Waiting<Integer> poll(FairQueue<Integer> fair) {
+		Waiting<Integer> next = fair.poll(0, (waiting) -> Readiness.READY);
+		if (next == null) {
+			throw new AssertionError("nothing is ready");
+		}
+		return next;
+	}
+
+	private static Refusal.Reason reason(Admission<Integer> admission) {
+		return ((Admission.Refused<Integer>) admission).refusal().reason();
+	}
+
+}
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/routing/RouterTests.java
@@ -0,0 +1,208 @@
+package org.masticshelf.kernel.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import com.google.common.truth.Truth;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.refusal.Refusal;
+
+class RouterTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final int SLOTS = 8;
+
+	private final EndpointBoard board = new EndpointBoard();
+
+	private final PrefixHints hints = new PrefixHints();
+
+	private final Router router = new Router("a", (domain) -> 1_500_000, this.hints, new Random(1));
+
+	@Property(tries = 300, seed = "5")
+	void neverEjectsMoreThanItsShare(@ForAll @IntRange(min = 1, max = 12) int size, @ForAll long seed) {
+		EndpointBoard ejecting = new EndpointBoard();
+		List<Pool.Endpoint> endpoints = endpoints(size);
+		ejecting.update(endpoints);
+		Random random = new Random(seed);
+		long now = 0;
+		for (int step = 0; step < 200; step++) {
+			now += random.nextLong(SECOND);
+			ejecting.failed(endpoints.get(random.nextInt(size)).identifier(), now);
+			long current = now;
+			long ejected = endpoints.stream().filter((one) -> ejecting.isEjected(one.identifier(), current)).count();
+			Truth.assertThat(ejected).isAtMost(Math.min(size - 1, Math.max(1, size * 34 / 100)));
+		}
+	}
+
+	@Test
+	void avoidsEjectedEndpointUntilItReturns() {
+		List<String> names = update(3);
+		eject("e0", 0);
+		Truth.assertThat(chosenOften(names, SECOND)).doesNotContainKey("e0");
+		Truth.assertThat(chosenOften(names, 20 * SECOND)).containsKey("e0");
+	}
+
+	@Test
+	void ejectionDoubles() {
+		update(3);
+		eject("e0", 0);
+		eject("e0", 3 * SECOND);
+		Truth.assertThat(this.board.isEjected("e0", 6 * SECOND)).isTrue();
+		Truth.assertThat(this.board.isEjected("e0", 8 * SECOND)).isFalse();
+	}
+
+	@Test
+	void startsSlowlyAfterReturn() {
+		List<String> names = update(3);
+		eject("e0", 0);
+		int soon = chosenOften(names, 3 * SECOND).getOrDefault("e0", 0);
+		int later = chosenOften(names, 30 * SECOND).getOrDefault("e0", 0);
+		Truth.assertThat(soon).isLessThan(later / 2);
+	}
+
+	@Test
+	void triesTheFirstToReturnIfAllHoldersAreEjected() {
+		update(3);
+		eject("e0", 0);
+		RouteDecision decision = this.router.choose(this.board, Selection.among(Set.of("e0")), 1);
+		Truth.assertThat(((RouteDecision.Chosen) decision).reason()).isEqualTo(RouteDecision.Reason.LAST_RESORT);
+	}
+
+	@Test
+	void neverChoosesLeavingEndpoint() {
+		update(2);
+		this.board.leaving("e0", true);
+		Truth.assertThat(chosenOften(List.of("e0", "e1"), 0)).doesNotContainKey("e0");
+		RouteDecision decision = this.router.choose(this.board, Selection.among(Set.of("e0")), 0);
+		Truth.assertThat(((RouteDecision.None) decision).reason()).isEqualTo(Refusal.Reason.NO_ENDPOINT);
+	}
+
+	@Test
+	void avoidsExcludedEndpointIfThereAreOthers() {
+		update(2);
+		Selection both = Selection.among(Set.of("e0", "e1")).without(Set.of("e0"));
+		Selection only = Selection.among(Set.of("e0")).without(Set.of("e0"));
+		Truth.assertThat(choose(both, 0)).isEqualTo("e1");
+		Truth.assertThat(choose(only, 0)).isEqualTo("e0");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0, 8, ENDPOINTS_FULL", "0, 7, e0", "6, 8, e0" })
+	void fullByReportUnlessItIsOld(long ageSeconds, int load, String expected) {
+		update(1);
+		this.board.reported("e0", load, 0, this.board.mark("e0", 0));
+		RouteDecision decision = this.router.choose(this.board, Selection.among(Set.of("e0")), ageSeconds * SECOND);
+		String seen = switch (decision) {
+			case RouteDecision.Chosen chosen -> chosen.endpoint().identifier();
+			case RouteDecision.None none -> none.reason().name();
+		};
+		Truth.assertThat(seen).isEqualTo(expected);
+	}
+
+	@Test
+	void countsOwnDispatchesSinceReport() {
+		update(1);
+		EndpointBoard.ReportMark mark = this.board.mark("e0", 0);
+		this.board.started("e0");
+		this.board.reported("e0", 4, 1, mark);
+		this.board.started("e0");
+		Truth.assertThat(this.board.effectiveLoad("e0", 1)).isEqualTo(7);
+		this.board.succeeded("e0", 1, 1);
+		Truth.assertThat(this.board.effectiveLoad("e0", 1)).isEqualTo(6);
+	}
+
+	@Test
+	void spreadsBurstBetweenTwoReports() {
+		List<String> names = update(4);
+		names.forEach((name) -> this.board.reported(name, 0, 0, this.board.mark(name, 0)));
+		for (int index = 0; index < 16; index++) {
+			this.board.started(choose(Selection.among(Set.copyOf(names)), 1));
+		}
+		List<Integer> loads = names.stream().map((name) -> this.board.effectiveLoad(name, 1)).toList();
+		Truth.assertThat(loads.stream().mapToInt(Integer::intValue).max().orElse(0)).isAtMost(6);
+	}
+
+	@Test
+	void staysInOwnDomainAtEqualLoadAndSpillsUnderLoad() {
+		this.board.update(List.of(endpoint("e0", "a"), endpoint("e1", "b")));
+		Selection both = Selection.among(Set.of("e0", "e1"));
+		Truth.assertThat(choose(both, 0)).isEqualTo("e0");
+		for (int index = 0; index < SLOTS / 2; index++) {
+			this.board.started("e0");
+		}
+		Truth.assertThat(choose(both, 0)).isEqualTo("e1");
+	}
+
+	@Test
+	void prefixKeepsItsEndpointWithinLoadBound() {
+		Set<String> names = Set.copyOf(update(4));
+		Selection selection = Selection.among(names).withPrefix(42);
+		String home = choose(selection, 0);
+		Truth.assertThat(choose(selection, 0)).isEqualTo(home);
+		for (int index = 0; index < SLOTS - 1; index++) {
+			this.board.started(home);
+		}
+		Truth.assertThat(choose(selection, 0)).isNotEqualTo(home);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "2, false, true", "3, false, false", "1, false, true", "2, true, true" })
+	void gapInCacheEventsDropsHints(long nextSequence, boolean late, boolean kept) {
+		this.hints.event("e1", 1, 42, true, 0);
+		this.hints.event("e1", nextSequence, 43, true, late ? 1 : 0);
+		Truth.assertThat(this.hints.holderOf(42, 1) != null).isEqualTo(kept);
+	}
+
+	private List<String> update(int size) {
+		List<Pool.Endpoint> endpoints = endpoints(size);
+		this.board.update(endpoints);
+		return endpoints.stream().map(Pool.Endpoint::identifier).collect(Collectors.toCollection(ArrayList::new));
+	}
+
+	private static List<Pool.Endpoint> endpoints(int size) {
+		List<Pool.Endpoint> endpoints = new ArrayList<>();
+		for (int index = 0; index < size; index++) {
+			endpoints.add(endpoint("e" + index, "a"));
+		}
+		return endpoints;
+	}
+
+	private static Pool.Endpoint endpoint(String identifier, String domain) {
+		return new Pool.Endpoint(identifier, "127.0.0.1:1", domain, 0, SLOTS, false);
+	}
+
+	private void eject(String identifier, long now) {
+		boolean ejected = false;
+		for (int index = 0; index < 3; index++) {
+			ejected = this.board.failed(identifier, now);
+		}
+		Truth.assertThat(ejected).isTrue();
+	}
+
+	private Map<String, Integer> chosenOften(List<String> names, long now) {
+		Map<String, Integer> counts = new HashMap<>();
+		for (int index = 0; index < 200; index++) {
+			counts.merge(choose(Selection.among(Set.copyOf(names)), now), 1, Integer::sum);
+		}
+		return counts;
+	}
+
+	private String choose(Selection selection, long now) {
+		RouteDecision decision = this.router.choose(this.board, selection, now);
+		return ((RouteDecision.Chosen) decision).endpoint().identifier();
+	}
+
+}
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/stream/StreamAssemblyTests.java
@@ -0,0 +1,110 @@
+package org.masticshelf.kernel.stream;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import com.google.common.truth.Truth;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticshelf.kernel.refusal.Refusal;
+
+class StreamAssemblyTests {
+
+	/**
+	 * Plays a stream that is cut at random, repeats pieces after a resumption, loses
+	 * pieces and mixes in pieces of another request. Whatever happens, the caller holds a
+	 * prefix of the answer, and all of it exactly when it is told so.
+	 * @param length the length of the answer in tokens
+	 * @param seed determines cuts, repeats, losses and mix-ups
+	 */
+	@Property(tries = 2_000, seed = "5")
+	void callerHoldsPrefixAndWholeAnswerWhenToldSo(@ForAll @IntRange(max = 60) int length, @ForAll long seed) {
+		Random random = new Random(seed);
+		StreamAssembly assembly = new StreamAssembly("own", true);
+		List<Integer> received = new ArrayList<>();
+		Ending ending = exchange(assembly, received, 0, length, random);
+		while (ending instanceof Ending.Resume resume) {
+			int from = Math.max(0, resume.afterTokens() - random.nextInt(3));
+			ending = exchange(assembly, received, from, length, random);
+		}
+		Truth.assertThat(received).isEqualTo(IntStream.range(0, received.size()).boxed().toList());
+		if (ending instanceof Ending.Whole) {
+			Truth.assertThat(received).hasSize(length);
+		}
+	}
+
+	private static Ending exchange(StreamAssembly assembly, List<Integer> received, int from, int length,
+			Random random) {
+		int position = from;
+		while (position < length) {
+			int tokens = Math.min(1 + random.nextInt(4), length - position);
+			int event = random.nextInt(40);
+			if (event == 0) {
+				return assembly.interrupted(true);
+			}
+			if (event == 1) {
+				return assembly.finished(random.nextBoolean(), length, true);
+			}
+			if (event > 2) {
+				Step step = assembly.accept(new Piece((event == 3) ? "other" : "own", position, tokens));
+				if (step == Step.FORWARD) {
+					IntStream.range(position, position + tokens).forEach(received::add);
+				}
+				if (step.breaksExchange()) {
+					return assembly.interrupted(true);
+				}
+			}
+			position += tokens;
+		}
+		return assembly.finished(true, length, true);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "true, 5, Whole", "false, 5, NO_FINAL_EVENT", "true, 6, SHORT", "true, 4, LONG" })
+	void checksFinalEventAndLength(boolean finalEvent, long counted, String expected) {
+		StreamAssembly assembly = new StreamAssembly("own", false);
+		assembly.accept(Piece.unnumbered("own", 5));
+		Ending ending = assembly.finished(finalEvent, counted, true);
+		String seen = (ending instanceof Ending.Broken broken) ? broken.cause().name()
+				: ending.getClass().getSimpleName();
+		Truth.assertThat(seen).isEqualTo(expected);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "own, 5, 1, FORWARD", "own, -1, 2, FORWARD", "own, 3, 2, REPEATED", "own, 6, 1, GAP",
+			"own, 4, 2, OVERLAP", "other, 5, 1, OTHER_REQUEST" })
+	void judgesPieceAfterFiveTokens(String identity, long firstToken, int tokens, Step expected) {
+		StreamAssembly assembly = new StreamAssembly("own", true);
+		assembly.accept(new Piece("own", 0, 5));
+		Truth.assertThat(assembly.accept(new Piece(identity, firstToken, tokens))).isEqualTo(expected);
+	}
+
+	@Test
+	void pieceAfterDefectIsLate() {
+		StreamAssembly assembly = new StreamAssembly("own", true);
+		assembly.accept(new Piece("own", 2, 1));
+		Truth.assertThat(assembly.accept(new Piece("own", 0, 1))).isEqualTo(Step.LATE);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "false, true, 0", "true, false, 0", "true, true, 3" })
+	void resumesOnlyIfPermittedInTimeAndAFewTimes(boolean resumable, boolean timeLeft, int expected) {
+		StreamAssembly assembly = new StreamAssembly("own", resumable);
+		int resumptions = 0;
+		Ending ending = assembly.interrupted(timeLeft);
+		while (ending instanceof Ending.Resume) {
+			resumptions++;
+			ending = assembly.interrupted(timeLeft);
+		}
+		Truth.assertThat(resumptions).isEqualTo(expected);
+		Truth.assertThat(((Ending.Broken) ending).refusal().ran()).isEqualTo(Refusal.Ran.UNKNOWN);
+	}
+
+}
