--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueFaults.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueFaults.java
@@ -140,7 +140,11 @@
 		released.forEach(Runnable::run);
 	}
 
-	synchronized boolean isDown() {
+	/**
+	 * Returns whether calls fail.
+	 * @return whether the service is taken away
+	 */
+	public synchronized boolean isDown() {
 		return this.down;
 	}
 
