Stand-ins as processes: key-value gateway, instance list, fault proxy

Cause: adapters and the daemons under test need the platform over sockets, where answers are lost and connections break.

--- a/standins/src/main/java/org/masticshelf/standins/StandIns.java
+++ b/standins/src/main/java/org/masticshelf/standins/StandIns.java
@@ -60,7 +60,7 @@
 			errors.println(ex.getMessage());
 			return WRONG_USAGE;
 		}
-		catch (IOException ex) {
+		catch (IOException | RuntimeException ex) {
 			errors.println("cannot start: " + ex.getMessage());
 			return FAILED;
 		}
--- a/standins/src/main/java/org/masticshelf/standins/faultproxy/FaultProxyCommand.java
+++ b/standins/src/main/java/org/masticshelf/standins/faultproxy/FaultProxyCommand.java
@@ -9,7 +9,7 @@
 import io.undertow.util.StatusCodes;
 
 import org.masticshelf.standins.StandInCommand;
-import org.masticshelf.standins.StandInServer;
+import org.masticshelf.standins.web.WebServer;
 
 /**
  * The subcommand {@code fault-proxy}. The mode is changed by {@code POST /mode/<mode>} on
@@ -42,7 +42,7 @@
 	@Override
 	public Running start() throws IOException {
 		FaultProxy proxy = FaultProxy.start(this.host, this.port, this.target);
-		StandInServer.start(this.host, this.administrationPort, (exchange) -> handle(exchange, proxy));
+		WebServer.start(this.host, this.administrationPort, (exchange) -> handle(exchange, proxy));
 		return proxy;
 	}
 
--- a/standins/src/main/java/org/masticshelf/standins/instancelist/InstanceListServer.java
+++ b/standins/src/main/java/org/masticshelf/standins/instancelist/InstanceListServer.java
@@ -15,7 +15,7 @@
 
 import org.masticshelf.kernel.port.InstanceList;
 import org.masticshelf.standins.StandInCommand;
-import org.masticshelf.standins.StandInServer;
+import org.masticshelf.standins.web.WebServer;
 
 /**
  * Serves a list of instances as JSON: {@code GET /instances} reads, {@code PUT
@@ -31,14 +31,14 @@
 	private static final TypeReference<List<InstanceList.Instance>> LIST_TYPE = new TypeReference<>() {
 	};
 
-	private final StandInServer server;
+	private final WebServer server;
 
 	private volatile String list = "[]";
 
 	private volatile Fault fault = Fault.NONE;
 
-	private InstanceListServer(String host, int port) throws IOException {
-		this.server = StandInServer.start(host, port, this::handle);
+	private InstanceListServer(String host, int port) {
+		this.server = WebServer.start(host, port, this::handle);
 	}
 
 	/**
@@ -46,9 +46,8 @@
 	 * @param host the IP number to listen on
 	 * @param port the port, 0 for any
 	 * @return the running server
-	 * @throws IOException if it cannot listen
 	 */
-	public static InstanceListServer start(String host, int port) throws IOException {
+	public static InstanceListServer start(String host, int port) {
 		return new InstanceListServer(host, port);
 	}
 
@@ -80,7 +79,7 @@
 		this.server.close();
 	}
 
-	private void handle(HttpServerExchange exchange) {
+	private void handle(HttpServerExchange exchange) throws IOException {
 		switch (exchange.getRequestPath()) {
 			case "/instances" -> instances(exchange);
 			case "/fault/none" -> this.fault = Fault.NONE;
@@ -90,9 +89,9 @@
 		}
 	}
 
-	private void instances(HttpServerExchange exchange) {
+	private void instances(HttpServerExchange exchange) throws IOException {
 		if (exchange.getRequestMethod().equals(Methods.PUT)) {
-			exchange.getRequestReceiver().receiveFullString(this::put, StandardCharsets.UTF_8);
+			put(exchange, new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
 			return;
 		}
 		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayFaults.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayFaults.java
@@ -1,15 +1,12 @@
 package org.masticshelf.standins.keyvalue.gateway;
 
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
-import io.undertow.server.HttpServerExchange;
-import org.jspecify.annotations.Nullable;
-
 import org.masticshelf.standins.keyvalue.InMemoryKeyValue;
 import org.masticshelf.standins.keyvalue.KeyValueCall;
 import org.masticshelf.standins.keyvalue.KeyValueState;
+import org.masticshelf.standins.web.JsonExchange;
 
 /**
  * Switches faults by requests such as {@code POST /fault/down?value=true}, and the faults
@@ -37,8 +34,16 @@
 		return path.startsWith(PATH_PREFIX);
 	}
 
-	synchronized long delayMilliseconds() {
-		return this.delayMilliseconds;
+	/**
+	 * Waits as long as answers are to be delayed.
+	 * @throws InterruptedException if the gateway is closed meanwhile
+	 */
+	void delay() throws InterruptedException {
+		long delay;
+		synchronized (this) {
+			delay = this.delayMilliseconds;
+		}
+		Thread.sleep(delay);
 	}
 
 	synchronized boolean takeRubbish() {
@@ -51,15 +56,16 @@
 
 	/**
 	 * Switches a fault.
+	 * @param path the path of the request
 	 * @param exchange the request, whose query parameters say how
 	 * @return whether there is such a fault
 	 */
-	boolean switchFault(HttpServerExchange exchange) {
-		String name = exchange.getRequestPath().substring(PATH_PREFIX.length());
+	boolean switchFault(String path, JsonExchange exchange) {
+		String name = path.substring(PATH_PREFIX.length());
 		switch (name) {
 			case "down" -> this.store.faults().setDown(flag(exchange));
 			case "lose-answers" -> this.store.faults()
-				.loseNextAnswers(KeyValueCall.valueOf(text(exchange, "call", "TRANSACT")), count(exchange));
+				.loseNextAnswers(KeyValueCall.valueOf(exchange.parameter("call", "TRANSACT")), count(exchange));
 			case "hold-requests" -> this.store.faults().holdRequests();
 			case "hold-answers" -> this.store.faults().holdAnswers();
 			case "release" -> this.store.faults().release();
@@ -69,11 +75,11 @@
 			case "release-watch-batches" -> this.store.faults().releaseWatchBatches();
 			case "break-watches" -> this.store.breakWatches("asked for by a test");
 			case "compact" -> this.store.compact();
-			case "snapshot" -> takeSnapshot(text(exchange, "name", "default"));
+			case "snapshot" -> takeSnapshot(exchange.parameter("name", "default"));
 			case "restore" -> {
-				return restore(text(exchange, "name", "default"));
+				return restore(exchange.parameter("name", "default"));
 			}
-			case "delay" -> setDelay(Long.parseLong(text(exchange, "milliseconds", "0")));
+			case "delay" -> setDelay(Long.parseLong(exchange.parameter("milliseconds", "0")));
 			case "rubbish" -> setRubbish(count(exchange));
 			default -> {
 				return false;
@@ -106,17 +112,12 @@
 		this.rubbishAnswers = count;
 	}
 
-	private static boolean flag(HttpServerExchange exchange) {
-		return Boolean.parseBoolean(text(exchange, "value", "true"));
-	}
-
-	private static int count(HttpServerExchange exchange) {
-		return Integer.parseInt(text(exchange, "count", "1"));
+	private static boolean flag(JsonExchange exchange) {
+		return Boolean.parseBoolean(exchange.parameter("value", "true"));
 	}
 
-	private static String text(HttpServerExchange exchange, String name, String fallback) {
-		@Nullable Deque<String> values = exchange.getQueryParameters().get(name);
-		return (values != null && !values.isEmpty()) ? values.getFirst() : fallback;
+	private static int count(JsonExchange exchange) {
+		return Integer.parseInt(exchange.parameter("count", "1"));
 	}
 
 }
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayWatch.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayWatch.java
@@ -27,9 +27,9 @@
 
 	private final GatewayMessages.WatchCreation creation;
 
-	GatewayWatch(InMemoryKeyValue store, GatewayMessages.WatchCreation creation) {
+	GatewayWatch(InMemoryKeyValue store, GatewayMessages.WatchRequest request) {
 		this.store = store;
-		this.creation = creation;
+		this.creation = request.createRequest();
 	}
 
 	@Override
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/KeyValueGateway.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/KeyValueGateway.java
@@ -1,28 +1,26 @@
 package org.masticshelf.standins.keyvalue.gateway;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import org.xnio.IoUtils;
 
 import org.masticshelf.kernel.port.KeyValueFailure;
 import org.masticshelf.standins.StandInCommand;
-import org.masticshelf.standins.StandInServer;
 import org.masticshelf.standins.keyvalue.InMemoryKeyValue;
 import org.masticshelf.standins.keyvalue.KeyValueCall;
+import org.masticshelf.standins.web.JsonExchange;
+import org.masticshelf.standins.web.WebServer;
 
 /**
  * Serves an {@link InMemoryKeyValue} over a subset of the JSON gateway of etcd. A call
@@ -37,6 +35,8 @@
 
 	private static final int INVALID_ARGUMENT = 3;
 
+	private static final byte[] RUBBISH = "{\"rubbish\": [".getBytes(StandardCharsets.UTF_8);
+
 	private final InMemoryKeyValue store;
 
 	private final GatewayCalls calls;
@@ -46,15 +46,13 @@
 	private final ScheduledExecutorService scheduler = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("key-value-expiry").daemon().factory());
 
-	private final ExecutorService watchers = Executors.newVirtualThreadPerTaskExecutor();
-
-	private final StandInServer server;
+	private final WebServer server;
 
-	private KeyValueGateway(InMemoryKeyValue store, String host, int port) throws IOException {
+	private KeyValueGateway(InMemoryKeyValue store, String host, int port) {
 		this.store = store;
 		this.calls = new GatewayCalls(store);
 		this.faults = new GatewayFaults(store);
-		this.server = StandInServer.start(host, port, this::handle);
+		this.server = WebServer.start(host, port, this::handle);
 		this.scheduler.scheduleAtFixedRate(store::expireLeases, EXPIRY_INTERVAL_MILLISECONDS,
 				EXPIRY_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
 	}
@@ -65,9 +63,8 @@
 	 * @param host the IP number to listen on
 	 * @param port the port, 0 for any
 	 * @return the running gateway
-	 * @throws IOException if it cannot listen
 	 */
-	public static KeyValueGateway start(InMemoryKeyValue store, String host, int port) throws IOException {
+	public static KeyValueGateway start(InMemoryKeyValue store, String host, int port) {
 		return new KeyValueGateway(store, host, port);
 	}
 
@@ -78,24 +75,21 @@
 
 	@Override
 	public void close() {
-		this.server.close();
 		this.scheduler.shutdownNow();
-		this.watchers.shutdownNow();
+		this.server.close();
 	}
 
-	private void handle(HttpServerExchange exchange) {
+	private void handle(HttpServerExchange exchange) throws IOException {
 		String path = exchange.getRequestPath();
 		if (path.equals("/counts")) {
 			send(exchange, StatusCodes.OK, counts());
 		}
 		else if (GatewayFaults.takes(path)) {
-			boolean known = this.faults.switchFault(exchange);
+			boolean known = this.faults.switchFault(path, new JsonExchange(exchange));
 			exchange.setStatusCode(known ? StatusCodes.NO_CONTENT : StatusCodes.NOT_FOUND);
 		}
 		else {
-			exchange.getRequestReceiver()
-				.receiveFullBytes((received, body) -> received.dispatch(SameThreadExecutor.INSTANCE,
-						() -> answer(received, path, body)));
+			answer(exchange, path, exchange.getInputStream().readAllBytes());
 		}
 	}
 
@@ -107,76 +101,54 @@
 		return counts;
 	}
 
-	private void answer(HttpServerExchange exchange, String path, byte[] body) {
+	private void answer(HttpServerExchange exchange, String path, byte[] body) throws IOException {
 		if (this.faults.takeRubbish()) {
-			exchange.getResponseSender().send("{\"rubbish\": [");
+			exchange.getOutputStream().write(RUBBISH);
 			return;
 		}
 		try {
 			if (path.equals("/v3/watch")) {
-				watch(exchange, GatewayMessages.MAPPER.readValue(body, GatewayMessages.WatchRequest.class));
+				new GatewayWatch(this.store, GatewayMessages.MAPPER.readValue(body, GatewayMessages.WatchRequest.class))
+					.run(exchange);
 				return;
 			}
-			CompletableFuture<?> answer = this.calls.answer(path, body);
-			answer.whenComplete((value, failure) -> later(() -> finish(exchange, value, failure)));
+			Object answer = this.calls.answer(path, body).get();
+			this.faults.delay();
+			send(exchange, StatusCodes.OK, answer);
 		}
-		catch (IOException | KeyValueFailure ex) {
-			refuse(exchange, String.valueOf(ex.getMessage()));
+		catch (KeyValueFailure ex) {
+			refuse(exchange, ex);
 		}
-	}
-
-	private void watch(HttpServerExchange exchange, GatewayMessages.WatchRequest request) {
-		GatewayWatch watch = new GatewayWatch(this.store, request.createRequest());
-		this.watchers.execute(() -> {
-			exchange.startBlocking();
-			watch.run(exchange);
-		});
-	}
-
-	private void later(Runnable task) {
-		long delay = this.faults.delayMilliseconds();
-		if (delay == 0) {
-			task.run();
+		catch (JsonProcessingException ex) {
+			refuse(exchange, new KeyValueFailure(ex.getOriginalMessage(), false));
 		}
-		else {
-			this.scheduler.schedule(task, delay, TimeUnit.MILLISECONDS);
+		catch (ExecutionException ex) {
+			KeyValueFailure failure = (ex.getCause() instanceof KeyValueFailure known) ? known
+					: new KeyValueFailure(String.valueOf(ex.getCause()), true);
+			refuse(exchange, failure);
 		}
-	}
-
-	private void finish(HttpServerExchange exchange, Object value, Throwable failure) {
-		if (failure == null) {
-			send(exchange, StatusCodes.OK, value);
-			return;
-		}
-		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
-		boolean swallowed = !(cause instanceof KeyValueFailure refusal) || refusal.maybeApplied()
-				|| this.store.faults().isDown();
-		if (swallowed) {
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
 			IoUtils.safeClose(exchange.getConnection());
 		}
-		else {
-			refuse(exchange, String.valueOf(cause.getMessage()));
-		}
 	}
 
-	private static void refuse(HttpServerExchange exchange, String reason) {
-		send(exchange, StatusCodes.BAD_REQUEST, new GatewayMessages.Failure(INVALID_ARGUMENT, reason));
+	private void refuse(HttpServerExchange exchange, KeyValueFailure failure) throws IOException {
+		if (failure.maybeApplied() || this.store.faults().isDown()) {
+			IoUtils.safeClose(exchange.getConnection());
+			return;
+		}
+		send(exchange, StatusCodes.BAD_REQUEST,
+				new GatewayMessages.Failure(INVALID_ARGUMENT, String.valueOf(failure.getMessage())));
 	}
 
-	private static void send(HttpServerExchange exchange, int status, Object value) {
+	private static void send(HttpServerExchange exchange, int status, Object value) throws IOException {
+		byte[] bytes = GatewayMessages.MAPPER.writeValueAsBytes(value);
 		exchange.setStatusCode(status);
 		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-		exchange.getResponseSender().send(ByteBuffer.wrap(toBytes(value)));
-	}
-
-	private static byte[] toBytes(Object value) {
-		try {
-			return GatewayMessages.MAPPER.writeValueAsBytes(value);
-		}
-		catch (IOException ex) {
-			return ("{\"code\":13,\"message\":\"" + ex.getClass().getSimpleName() + "\"}")
-				.getBytes(StandardCharsets.UTF_8);
-		}
+		exchange.setResponseContentLength(bytes.length);
+		exchange.getOutputStream().write(bytes);
+		exchange.endExchange();
 	}
 
 }
