Requests to models from arrival to answer

Cause: the thin path needs one owner of a request that charges, dispatches, retries, resumes and answers exactly once. Ruled out: blocking threads, since 2,000 streams wait on slow callers.

--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/CallerExchange.java
@@ -0,0 +1,204 @@
+package org.masticshelf.daemon.caller;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+import org.masticshelf.daemon.request.CallerAnswer;
+import org.masticshelf.kernel.refusal.Refusal;
+import org.masticshelf.transport.json.Json;
+
+/**
+ * The answer to one caller through Undertow.
+ * <p>
+ * Invariants: at most one whole answer or one stream is written; at most
+ * {@value #MAXIMUM_PENDING_BYTES} bytes wait for a slow caller, whose connection is
+ * closed above that. Any thread may call; the exchange is touched on its own thread for
+ * input and output only.
+ */
+final class CallerExchange implements CallerAnswer {
+
+	private static final int MAXIMUM_PENDING_BYTES = 1024 * 1024;
+
+	private static final HttpString REQUEST_IDENTIFIER = new HttpString("x-request-id");
+
+	private final HttpServerExchange exchange;
+
+	private final String echoedIdentifier;
+
+	private final AtomicBoolean begun = new AtomicBoolean();
+
+	private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+
+	private int pendingBytes;
+
+	private boolean ending;
+
+	private @Nullable StreamSinkChannel channel;
+
+	CallerExchange(HttpServerExchange exchange, String echoedIdentifier) {
+		this.exchange = exchange;
+		this.echoedIdentifier = echoedIdentifier;
+	}
+
+	@Override
+	public void whole(int status, Map<String, String> headers, byte[] body) {
+		if (!this.begun.compareAndSet(false, true)) {
+			return;
+		}
+		this.exchange.getIoThread().execute(() -> sendWhole(status, headers, body));
+	}
+
+	private void sendWhole(int status, Map<String, String> headers, byte[] body) {
+		if (this.exchange.isResponseStarted()) {
+			return;
+		}
+		this.exchange.setStatusCode(status);
+		headers.forEach((name, value) -> this.exchange.getResponseHeaders().put(new HttpString(name), value));
+		this.exchange.getResponseHeaders().put(REQUEST_IDENTIFIER, this.echoedIdentifier);
+		this.exchange.getResponseSender().send(ByteBuffer.wrap(body));
+	}
+
+	@Override
+	public void refuse(Refusal refusal, String message) {
+		byte[] body = Json.toBytes(toError(refusal, message));
+		if (this.begun.get()) {
+			appendEvent(body);
+			finish();
+			return;
+		}
+		Map<String, String> headers = (refusal.retryAfterMilliseconds() > 0) ? Map.of("content-type",
+				"application/json", "retry-after", Long.toString(refusal.toRetryAfterSeconds()))
+				: Map.of("content-type", "application/json");
+		whole(refusal.status(), headers, body);
+	}
+
+	private ObjectNode toError(Refusal refusal, String message) {
+		ObjectNode error = Json.mapper().createObjectNode();
+		error.putObject("error")
+			.put("message", message)
+			.put("reason", refusal.reason().code())
+			.put("ran", refusal.ran().code())
+			.put("retry_after_ms", refusal.retryAfterMilliseconds())
+			.put("request_id", this.echoedIdentifier);
+		return error;
+	}
+
+	@Override
+	public void event(byte[] data) {
+		if (this.begun.compareAndSet(false, true)) {
+			this.exchange.getIoThread().execute(this::beginStream);
+		}
+		appendEvent(data);
+	}
+
+	private void appendEvent(byte[] data) {
+		ByteBuffer framed = ByteBuffer.allocate(data.length + 8);
+		framed.put("data: ".getBytes(StandardCharsets.US_ASCII)).put(data).put((byte) '\n').put((byte) '\n').flip();
+		this.exchange.getIoThread().execute(() -> append(framed));
+	}
+
+	@Override
+	public void finish() {
+		this.exchange.getIoThread().execute(() -> {
+			this.ending = true;
+			drain();
+		});
+	}
+
+	private void beginStream() {
+		this.exchange.setStatusCode(200);
+		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+		this.exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
+		this.exchange.getResponseHeaders().put(REQUEST_IDENTIFIER, this.echoedIdentifier);
+		StreamSinkChannel opened = this.exchange.getResponseChannel();
+		if (opened == null) {
+			return;
+		}
+		opened.getWriteSetter().set((writable) -> drain());
+		this.channel = opened;
+	}
+
+	private void append(ByteBuffer framed) {
+		this.pending.add(framed);
+		this.pendingBytes += framed.remaining();
+		if (this.pendingBytes > MAXIMUM_PENDING_BYTES) {
+			IoUtils.safeClose(this.exchange.getConnection());
+			return;
+		}
+		drain();
+	}
+
+	private void drain() {
+		StreamSinkChannel opened = this.channel;
+		if (opened == null) {
+			return;
+		}
+		try {
+			while (!this.pending.isEmpty()) {
+				ByteBuffer head = this.pending.getFirst();
+				int written = opened.write(head);
+				if (written == 0 && head.hasRemaining()) {
+					opened.resumeWrites();
+					return;
+				}
+				this.pendingBytes -= written;
+				if (!head.hasRemaining()) {
+					this.pending.removeFirst();
+				}
+			}
+			if (this.ending) {
+				end();
+				return;
+			}
+			if (opened.flush()) {
+				opened.suspendWrites();
+			}
+			else {
+				opened.resumeWrites();
+			}
+		}
+		catch (IOException ex) {
+			IoUtils.safeClose(this.exchange.getConnection());
+		}
+	}
+
+	private void end() {
+		this.channel = null;
+		this.exchange.endExchange();
+	}
+
+	@Override
+	public void onGone(Runnable action) {
+		this.exchange.getIoThread().execute(() -> {
+			if (!this.exchange.getConnection().isOpen()) {
+				action.run();
+				return;
+			}
+			AtomicBoolean complete = new AtomicBoolean();
+			this.exchange.addExchangeCompleteListener((completed, next) -> {
+				complete.set(true);
+				next.proceed();
+			});
+			this.exchange.getConnection().addCloseListener((connection) -> {
+				if (!complete.get()) {
+					action.run();
+				}
+			});
+			DisconnectWatch.on(this.exchange);
+		});
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The callers' listener.
+ */
+@NullMarked
+package org.masticshelf.daemon.caller;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
@@ -126,11 +126,25 @@
 	 * @param work the work
 	 */
 	public void submit(Work work) {
+		this.lock.lock();
+		try {
+			this.budget.requested();
+		}
+		finally {
+			this.lock.unlock();
+		}
+		resubmit(work);
+	}
+
+	/**
+	 * Queues a work again after a failed exchange, or refuses it at once.
+	 * @param work the work
+	 */
+	public void resubmit(Work work) {
 		Refusal refusal = null;
 		Work displaced = null;
 		this.lock.lock();
 		try {
-			this.budget.requested();
 			switch (offer(work)) {
 				case Admission.Queued<Work> queued -> displaced = displacedBy(queued);
 				case Admission.Refused<Work> refused -> refusal = refused.refusal();
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/ActiveRequests.java
@@ -0,0 +1,97 @@
+package org.masticshelf.daemon.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+
+import org.masticshelf.kernel.refusal.Refusal;
+
+/**
+ * The requests that this daemon has taken and not yet ended.
+ * <p>
+ * Invariant: once {@link #awaitEmpty} was called its action runs as soon as no request is
+ * left. Safe for use by several threads.
+ */
+public final class ActiveRequests {
+
+	private final Map<String, Abortable> requests = new ConcurrentHashMap<>();
+
+	private final AtomicBoolean awaited = new AtomicBoolean();
+
+	private volatile Runnable whenEmpty = () -> {
+	};
+
+	/**
+	 * Adds a request.
+	 * @param identifier the identity of the request
+	 * @param request the request
+	 */
+	public void add(String identifier, Abortable request) {
+		this.requests.put(identifier, request);
+	}
+
+	/**
+	 * Removes a request that has ended.
+	 * @param identifier the identity of the request
+	 */
+	public void remove(String identifier) {
+		this.requests.remove(identifier);
+		runIfEmpty();
+	}
+
+	/**
+	 * Returns how many requests are active.
+	 * @return the number of requests
+	 */
+	public int size() {
+		return this.requests.size();
+	}
+
+	/**
+	 * Aborts the requests of keys that may no longer be used.
+	 * @param keyPermitted tells whether the key with a digest may be used
+	 */
+	public void abortWithout(Predicate<String> keyPermitted) {
+		this.requests.values().forEach((request) -> {
+			String digest = request.details().keyDigest();
+			if (digest != null && !keyPermitted.test(digest)) {
+				request.abort(Refusal.Reason.KEY_REJECTED);
+			}
+		});
+	}
+
+	/**
+	 * Runs an action once no request is active.
+	 * @param action runs once, at once if there is none
+	 */
+	public void awaitEmpty(Runnable action) {
+		this.whenEmpty = action;
+		this.awaited.set(true);
+		runIfEmpty();
+	}
+
+	private void runIfEmpty() {
+		if (this.requests.isEmpty() && this.awaited.compareAndSet(true, false)) {
+			this.whenEmpty.run();
+		}
+	}
+
+	/** A request that can be ended early. */
+	public interface Abortable {
+
+		/**
+		 * Returns what is known of the request.
+		 * @return the details
+		 */
+		RequestDetails details();
+
+		/**
+		 * Ends the request with a refusal.
+		 * @param reason why
+		 */
+		void abort(Refusal.Reason reason);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/Grants.java
@@ -0,0 +1,73 @@
+package org.masticshelf.daemon.request;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.QualifiedName;
+
+/**
+ * The organisations' grants as the entry path sees them.
+ * <p>
+ * Implementations are safe for use by several threads and never block.
+ */
+public interface Grants {
+
+	/**
+	 * Returns whether the grant covers a cost now.
+	 * @param organisation the organisation
+	 * @param tokens the cost in tokens
+	 * @return whether a charge would succeed
+	 */
+	boolean covers(QualifiedName organisation, long tokens);
+
+	/**
+	 * Charges a cost.
+	 * @param organisation the organisation
+	 * @param tokens the cost in tokens
+	 * @return the charge, or {@code null} if the grant does not cover it now
+	 */
+	@Nullable Charge charge(QualifiedName organisation, long tokens);
+
+	/**
+	 * Returns how long it takes at least until the grant can cover a cost.
+	 * @param organisation the organisation
+	 * @param tokens the cost in tokens
+	 * @return nanoseconds, 0 if it covers it now, {@link Long#MAX_VALUE} if it never can
+	 */
+	long refillNanoseconds(QualifiedName organisation, long tokens);
+
+	/** A charge that is settled once. */
+	interface Charge {
+
+		/**
+		 * Settles the charge by what was used.
+		 * @param usedTokens tokens of the prompt and generated tokens
+		 */
+		void settle(long usedTokens);
+
+	}
+
+	/** Grants without a bound, for requests that are open to all. */
+	enum Unlimited implements Grants {
+
+		/** The only instance. */
+		INSTANCE;
+
+		@Override
+		public boolean covers(QualifiedName organisation, long tokens) {
+			return true;
+		}
+
+		@Override
+		public Charge charge(QualifiedName organisation, long tokens) {
+			return (usedTokens) -> {
+			};
+		}
+
+		@Override
+		public long refillNanoseconds(QualifiedName organisation, long tokens) {
+			return 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Requests from their arrival to their answer.
+ */
+@NullMarked
+package org.masticshelf.daemon.request;
+
+import org.jspecify.annotations.NullMarked;
