Placement decisions as a pure planner

Cause: what is loaded and unloaded has to be decided from a state alone, so that fault tables and replay are cheap. Before: no placement.

--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/EndpointRecord.java
@@ -0,0 +1,242 @@
+package org.masticshelf.kernel.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.Loadable;
+
+/**
+ * Everything that may take memory at one endpoint, as kept in the key-value service.
+ * <p>
+ * Invariant: whatever may be loaded at the endpoint, or may yet be loaded there by an
+ * order that is on its way, has an entry. At most one entry a loadable. Immutable.
+ *
+ * @param endpoint the identifier of the endpoint
+ * @param entries the entries in the order in which they were added
+ */
+public record EndpointRecord(String endpoint, List<Entry> entries) {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	/**
+	 * Creates a record.
+	 */
+	public EndpointRecord {
+		entries = List.copyOf(entries);
+	}
+
+	/**
+	 * Creates the record of an endpoint that holds nothing.
+	 * @param endpoint the identifier of the endpoint
+	 * @return the record
+	 */
+	public static EndpointRecord empty(String endpoint) {
+		return new EndpointRecord(endpoint, List.of());
+	}
+
+	/**
+	 * Reads a record.
+	 * @param endpoint the identifier of the endpoint
+	 * @param json the form written by {@link #toJson()}
+	 * @return the record
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static EndpointRecord of(String endpoint, String json) {
+		try {
+			List<Entry> entries = new ArrayList<>();
+			MAPPER.readTree(json).path("entries").forEach((node) -> entries.add(Entry.of(node)));
+			return new EndpointRecord(endpoint, entries);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("malformed record of endpoint " + endpoint, ex);
+		}
+	}
+
+	/**
+	 * Writes this record.
+	 * @return the JSON form
+	 */
+	public String toJson() {
+		ObjectNode node = MAPPER.createObjectNode();
+		ArrayNode array = node.putArray("entries");
+		this.entries.forEach((entry) -> entry.writeTo(array.addObject()));
+		return node.toString();
+	}
+
+	/**
+	 * Returns the memory that is spoken for.
+	 * @return the bytes of all entries, whatever their state
+	 */
+	public long reservedBytes() {
+		long bytes = 0;
+		for (Entry entry : this.entries) {
+			bytes += entry.memoryBytes();
+		}
+		return bytes;
+	}
+
+	/**
+	 * Finds an entry.
+	 * @param loadable the loadable
+	 * @return its entry or {@code null} if it has none
+	 */
+	public @Nullable Entry entry(Loadable loadable) {
+		for (Entry entry : this.entries) {
+			if (entry.loadable().equals(loadable)) {
+				return entry;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Returns a copy with one entry added or replaced.
+	 * @param entry the entry
+	 * @return the changed record
+	 */
+	public EndpointRecord with(Entry entry) {
+		List<Entry> changed = new ArrayList<>(this.entries);
+		changed.removeIf((held) -> held.loadable().equals(entry.loadable()));
+		changed.add(entry);
+		return new EndpointRecord(this.endpoint, changed);
+	}
+
+	/**
+	 * Returns a copy without one entry.
+	 * @param loadable the loadable of the entry
+	 * @return the changed record
+	 */
+	public EndpointRecord without(Loadable loadable) {
+		return new EndpointRecord(this.endpoint,
+				this.entries.stream().filter((entry) -> !entry.loadable().equals(loadable)).toList());
+	}
+
+	/**
+	 * What may take memory.
+	 *
+	 * @param loadable the model or adapter
+	 * @param state how far it is
+	 * @param memoryBytes the memory that it takes
+	 * @param sender the holder that gives the orders of this entry
+	 * @param order the identifier of the intent, unique over all intents
+	 * @param earlier former holders whose orders for this loadable may still arrive; the
+	 * entry is neither unloaded nor removed while there are any
+	 */
+	public record Entry(Loadable loadable, State state, long memoryBytes, Sender sender, String order,
+			List<Sender> earlier) {
+
+		/**
+		 * Creates an entry.
+		 */
+		public Entry {
+			earlier = List.copyOf(earlier);
+		}
+
+		/**
+		 * Returns a copy in another state.
+		 * @param next the state
+		 * @return the changed entry
+		 */
+		public Entry withState(State next) {
+			return new Entry(this.loadable, next, this.memoryBytes, this.sender, this.order, this.earlier);
+		}
+
+		/**
+		 * Returns a copy in the hands of another holder, whose former holder's orders may
+		 * still arrive.
+		 * @param successor the holder that gives the orders from now on
+		 * @return the changed entry
+		 */
+		public Entry withSuccessor(Sender successor) {
+			List<Sender> senders = new ArrayList<>(this.earlier);
+			if (!senders.contains(this.sender)) {
+				senders.add(this.sender);
+			}
+			senders.remove(successor);
+			return new Entry(this.loadable, this.state, this.memoryBytes, successor, this.order, senders);
+		}
+
+		/**
+		 * Returns a copy whose former holders are known to send nothing more.
+		 * @param settled the former holders
+		 * @return the changed entry
+		 */
+		public Entry withoutEarlier(List<Sender> settled) {
+			List<Sender> senders = new ArrayList<>(this.earlier);
+			senders.removeAll(settled);
+			return new Entry(this.loadable, this.state, this.memoryBytes, this.sender, this.order, senders);
+		}
+
+		private void writeTo(ObjectNode node) {
+			LoadableCodec.write(this.loadable, node);
+			node.put("state", this.state.name()).put("memoryBytes", this.memoryBytes).put("order", this.order);
+			this.sender.writeTo(node.putObject("sender"));
+			if (!this.earlier.isEmpty()) {
+				ArrayNode array = node.putArray("earlier");
+				this.earlier.forEach((each) -> each.writeTo(array.addObject()));
+			}
+		}
+
+		private static Entry of(JsonNode node) {
+			List<Sender> earlier = new ArrayList<>();
+			node.path("earlier").forEach((each) -> earlier.add(Sender.of(each)));
+			return new Entry(LoadableCodec.read(node), State.valueOf(node.path("state").asText()),
+					node.path("memoryBytes").asLong(), Sender.of(node.path("sender")), node.path("order").asText(),
+					earlier);
+		}
+
+	}
+
+	/**
+	 * A daemon that gives orders under a duty.
+	 *
+	 * @param incarnation the incarnation of the daemon
+	 * @param address the IP number and port of its control listener
+	 * @param fencing the fencing number of its tenure
+	 */
+	public record Sender(String incarnation, String address, long fencing) {
+
+		private void writeTo(ObjectNode node) {
+			node.put("incarnation", this.incarnation).put("address", this.address).put("fencing", this.fencing);
+		}
+
+		private static Sender of(JsonNode node) {
+			return new Sender(node.path("incarnation").asText(), node.path("address").asText(),
+					node.path("fencing").asLong());
+		}
+
+	}
+
+	/** How far a loadable is at an endpoint. */
+	public enum State {
+
+		/** The intent to load is written; the order may be on its way or taken. */
+		INTENDED,
+
+		/** The endpoint has reported it loaded and every order for it was answered. */
+		LOADED,
+
+		/** The intent to unload is written; the order may be on its way or taken. */
+		UNLOADING,
+
+		/** An order to load it was sent and it is not known whether it was taken. */
+		DOUBTFUL;
+
+		/**
+		 * Returns whether a load is under way or in doubt.
+		 * @return whether it may become loaded
+		 */
+		public boolean isLoading() {
+			return this == INTENDED || this == DOUBTFUL;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementCatalogue.java
@@ -0,0 +1,93 @@
+package org.masticshelf.kernel.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.Configuration;
+import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.configuration.Route;
+
+/**
+ * What the pools of one weight store can load.
+ * <p>
+ * Immutable.
+ */
+public final class PlacementCatalogue {
+
+	private final Map<Loadable, Row> rows = new HashMap<>();
+
+	private final List<Loadable> kept = new ArrayList<>();
+
+	private final List<Pool> pools;
+
+	private PlacementCatalogue(List<Pool> pools) {
+		this.pools = pools;
+		pools.forEach((pool) -> pool.models().forEach((model) -> add(pool, model)));
+	}
+
+	/**
+	 * Creates the catalogue of one weight store.
+	 * @param configuration the configuration
+	 * @param store the weight store
+	 * @return the catalogue
+	 */
+	public static PlacementCatalogue of(Configuration configuration, String store) {
+		return new PlacementCatalogue(configuration.tables()
+			.pools()
+			.stream()
+			.filter((pool) -> pool.kind() == Route.Kind.MODEL && pool.store().equals(store))
+			.toList());
+	}
+
+	private void add(Pool pool, Pool.Model model) {
+		Loadable bare = new Loadable(pool.name(), model.name(), null);
+		this.rows.put(bare, new Row(model.memoryBytes(), model));
+		if (model.minimumReplicas() > 0) {
+			this.kept.add(bare);
+		}
+		for (Pool.Adapter adapter : model.adapters()) {
+			this.rows.put(new Loadable(pool.name(), model.name(), adapter.name()),
+					new Row(adapter.memoryBytes(), model));
+		}
+	}
+
+	/**
+	 * Finds a loadable.
+	 * @param loadable the loadable
+	 * @return its row or {@code null} if no pool of the store has it
+	 */
+	public @Nullable Row row(Loadable loadable) {
+		return this.rows.get(loadable);
+	}
+
+	/**
+	 * Returns the models of which some replicas are kept when idle.
+	 * @return the models
+	 */
+	public List<Loadable> kept() {
+		return this.kept;
+	}
+
+	/**
+	 * Returns the pools of the store.
+	 * @return the pools
+	 */
+	public List<Pool> pools() {
+		return this.pools;
+	}
+
+	/**
+	 * A loadable's row.
+	 *
+	 * @param memoryBytes the memory that it takes
+	 * @param model the model, for an adapter the model that it belongs to
+	 */
+	public record Row(long memoryBytes, Pool.Model model) {
+	}
+
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementDecision.java
@@ -0,0 +1,162 @@
+package org.masticshelf.kernel.placement;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.port.Engine;
+
+/**
+ * What the planner decided about one loadable.
+ */
+public sealed interface PlacementDecision {
+
+	/**
+	 * Returns what was decided upon.
+	 * @return the loadable
+	 */
+	Loadable loadable();
+
+	/**
+	 * Returns the log event of this decision.
+	 * @return the event
+	 */
+	Event toEvent();
+
+	/**
+	 * Load at an endpoint.
+	 *
+	 * @param loadable what to load
+	 * @param endpoint the identifier of the endpoint
+	 * @param memoryBytes the memory that it takes
+	 * @param level where the weights lie
+	 * @param organisation the organisation that has waited longest for it, or
+	 * {@code null} for a speculative load
+	 * @param reason why it is loaded
+	 */
+	record Load(Loadable loadable, String endpoint, long memoryBytes, Engine.CacheLevel level,
+			@Nullable QualifiedName organisation, Reason reason) implements PlacementDecision {
+
+		@Override
+		public Event toEvent() {
+			return Event.named("placement.load")
+				.with("loadable", this.loadable)
+				.with("endpoint", this.endpoint)
+				.with("memory_bytes", this.memoryBytes)
+				.with("level", this.level)
+				.with("organisation", this.organisation)
+				.with("reason", this.reason);
+		}
+
+	}
+
+	/**
+	 * Unload from an endpoint.
+	 *
+	 * @param loadable what to unload
+	 * @param endpoint the identifier of the endpoint
+	 * @param reason why it is unloaded
+	 */
+	record Unload(Loadable loadable, String endpoint, Reason reason) implements PlacementDecision {
+
+		@Override
+		public Event toEvent() {
+			return Event.named("placement.unload")
+				.with("loadable", this.loadable)
+				.with("endpoint", this.endpoint)
+				.with("reason", this.reason);
+		}
+
+	}
+
+	/**
+	 * Leave as it is: requests wait, but enough replicas are loaded.
+	 *
+	 * @param loadable what is kept
+	 * @param replicas how many replicas serve
+	 */
+	record Keep(Loadable loadable, int replicas) implements PlacementDecision {
+
+		@Override
+		public Event toEvent() {
+			return Event.named("placement.keep").with("loadable", this.loadable).with("replicas", this.replicas);
+		}
+
+	}
+
+	/**
+	 * Wait before loading.
+	 *
+	 * @param loadable what is waited for
+	 * @param reason what it waits for
+	 * @param readyInMilliseconds the estimate of the time until it is loaded, or
+	 * {@link #UNKNOWN_MILLISECONDS}
+	 */
+	record Wait(Loadable loadable, Reason reason, long readyInMilliseconds) implements PlacementDecision {
+
+		/** No estimate can be given. */
+		public static final long UNKNOWN_MILLISECONDS = Long.MAX_VALUE;
+
+		@Override
+		public Event toEvent() {
+			boolean known = this.readyInMilliseconds != UNKNOWN_MILLISECONDS;
+			return Event.named("placement.wait")
+				.with("loadable", this.loadable)
+				.with("reason", this.reason)
+				.with("ready_in_ms", known ? this.readyInMilliseconds : null);
+		}
+
+	}
+
+	/** Why something is loaded, unloaded or waited for. */
+	enum Reason {
+
+		/** Requests wait and no replica serves them. */
+		WAKE,
+
+		/** Requests keep waiting although replicas serve. */
+		SCALE_UP,
+
+		/** Fewer replicas are loaded than are to be kept. */
+		MINIMUM_REPLICAS,
+
+		/** Nobody asked for it for longer than it is kept. */
+		IDLE,
+
+		/** Its memory is needed for something that requests wait for. */
+		EVICTED,
+
+		/** Its endpoint is leaving. */
+		ENDPOINT_LEAVING,
+
+		/** No pool has it any more. */
+		NOT_CONFIGURED,
+
+		/** More replicas are loaded than may be. */
+		SURPLUS,
+
+		/** A load of it is under way. */
+		LOADING,
+
+		/** An adapter waits for its model. */
+		MODEL_LOADING,
+
+		/** The weight store admits no further load now. */
+		STORE_BUSY,
+
+		/** No endpoint has memory that could be freed. */
+		NO_MEMORY,
+
+		/** Memory for it is being freed. */
+		MEMORY_BEING_FREED,
+
+		/** As many replicas exist as may be. */
+		MAXIMUM_REPLICAS,
+
+		/** No endpoint of its pool takes loads. */
+		NO_ENDPOINT
+
+	}
+
+}
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/placement/Shelf.java
@@ -0,0 +1,148 @@
+package org.masticshelf.kernel.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.masticshelf.kernel.configuration.Configuration;
+import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.configuration.Route;
+import org.masticshelf.kernel.configuration.Tables;
+import org.masticshelf.kernel.placement.EndpointRecord.State;
+import org.masticshelf.kernel.port.Engine;
+
+/** Builds states of one pool for planner tests. */
+final class Shelf {
+
+	static final QualifiedName POOL = QualifiedName.of("sofia/pool");
+
+	static final EndpointRecord.Sender SENDER = new EndpointRecord.Sender("incarnation", "127.0.0.1:1", 1);
+
+	private final List<Pool.Model> models = new ArrayList<>();
+
+	private final Map<String, EndpointState> endpoints = new HashMap<>();
+
+	private final List<Demand> demands = new ArrayList<>();
+
+	private final Map<QualifiedName, Integer> loading = new HashMap<>();
+
+	private StoreGate gate = new StoreGate(0, 0, List.of());
+
+	private long now = 100_000;
+
+	Shelf model(String name, long bytes, int maximumReplicas) {
+		this.models.add(new Pool.Model(name, bytes, maximumReplicas, 0, 60_000,
+				List.of(new Pool.Adapter("a", 5), new Pool.Adapter("b", 5))));
+		return this;
+	}
+
+	Shelf kept(String name, long bytes, int minimumReplicas) {
+		this.models.add(new Pool.Model(name, bytes, 4, minimumReplicas, 60_000, List.of()));
+		return this;
+	}
+
+	Shelf endpoint(String identifier, long bytes) {
+		Pool.Endpoint endpoint = new Pool.Endpoint(identifier, "127.0.0.1:9", "domain", bytes, 4, true);
+		this.endpoints.put(identifier, new EndpointState(endpoint, EndpointState.Presence.LIVE,
+				EndpointRecord.empty(identifier), Map.of(), Map.of(), Set.of()));
+		return this;
+	}
+
+	Shelf holds(String identifier, String name, State state, long bytes, long idle, int inFlight) {
+		return holds(identifier, entry(name, state, bytes), idle, inFlight);
+	}
+
+	Shelf holds(String identifier, EndpointRecord.Entry entry, long idle, int inFlight) {
+		EndpointState known = known(identifier);
+		Map<Loadable, EndpointState.Use> uses = new HashMap<>(known.uses());
+		uses.put(entry.loadable(), new EndpointState.Use(this.now - idle, this.now - idle, inFlight));
+		this.endpoints.put(identifier, new EndpointState(known.endpoint(), known.presence(), known.record().with(entry),
+				known.cached(), uses, known.avoided()));
+		return this;
+	}
+
+	Shelf caches(String identifier, String name, Engine.CacheLevel level) {
+		EndpointState known = known(identifier);
+		this.endpoints.put(identifier, new EndpointState(known.endpoint(), known.presence(), known.record(),
+				Map.of(loadable(name), level), known.uses(), known.avoided()));
+		return this;
+	}
+
+	Shelf presence(String identifier, EndpointState.Presence presence) {
+		EndpointState known = known(identifier);
+		this.endpoints.put(identifier, new EndpointState(known.endpoint(), presence, known.record(), known.cached(),
+				known.uses(), known.avoided()));
+		return this;
+	}
+
+	Shelf wants(String organisation, String name, long waited) {
+		this.demands.add(new Demand(loadable(name), QualifiedName.of("sofia/" + organisation), 1, this.now - waited));
+		return this;
+	}
+
+	Shelf loadingFor(String organisation, int loads) {
+		this.loading.put(QualifiedName.of("sofia/" + organisation), loads);
+		return this;
+	}
+
+	Shelf gate(int models, int adapters, int startsNow) {
+		List<Long> starts = new ArrayList<>();
+		for (int start = 0; start < startsNow; start++) {
+			starts.add(this.now);
+		}
+		this.gate = new StoreGate(models, adapters, starts);
+		return this;
+	}
+
+	List<String> wake() {
+		return describe(planner().wake(state()));
+	}
+
+	List<String> sweep() {
+		return describe(planner().sweep(state()));
+	}
+
+	PlacementPlanner planner() {
+		Pool pool = new Pool(POOL, Route.Kind.MODEL, "store",
+				this.endpoints.values().stream().map(EndpointState::endpoint).toList(), this.models);
+		Configuration configuration = new Configuration(1, new Tables(List.of(), List.of(pool), List.of(), List.of()));
+		return new PlacementPlanner(PlacementCatalogue.of(configuration, "store"), PlacementPolicy.DEFAULT);
+	}
+
+	PlacementState state() {
+		return new PlacementState(this.now, Map.of(POOL, List.copyOf(this.endpoints.values())), this.demands, this.gate,
+				LoadTimes.INITIAL, this.loading);
+	}
+
+	static Loadable loadable(String name) {
+		return LoadableCodec.ofEngineName(POOL, name);
+	}
+
+	static EndpointRecord.Entry entry(String name, State state, long bytes) {
+		return new EndpointRecord.Entry(loadable(name), state, bytes, SENDER, "order", List.of());
+	}
+
+	private EndpointState known(String identifier) {
+		EndpointState known = this.endpoints.get(identifier);
+		if (known == null) {
+			throw new IllegalArgumentException(identifier);
+		}
+		return known;
+	}
+
+	private static List<String> describe(List<PlacementDecision> decisions) {
+		return decisions.stream().map((decision) -> switch (decision) {
+			case PlacementDecision.Load load ->
+				"load " + load.loadable().engineName() + " at " + load.endpoint() + " " + load.reason();
+			case PlacementDecision.Unload unload ->
+				"unload " + unload.loadable().engineName() + " at " + unload.endpoint() + " " + unload.reason();
+			case PlacementDecision.Keep keep -> "keep " + keep.loadable().engineName();
+			case PlacementDecision.Wait wait -> "wait " + wait.loadable().engineName() + " " + wait.reason();
+		}).toList();
+	}
+
+}
