Stand-ins of endpoints as subcommands of one program

Cause: the shared main class finds subcommands through ServiceLoader. Ruled out: keeping a main method in each class (three parsers for one matter). Before: three mains. After: engine, weight-store and plain-service start with org.masticshelf.standins.StandIns; each was started by hand once and printed where it listens.

--- a/standins/src/main/java/org/masticshelf/standins/engine/EngineCommand.java
+++ b/standins/src/main/java/org/masticshelf/standins/engine/EngineCommand.java
@@ -1,17 +1,18 @@
 package org.masticshelf.standins.engine;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import org.jspecify.annotations.Nullable;
 
+import org.masticshelf.standins.StandInCommand;
+
 /**
  * Runs an engine as a process of its own.
  * <p>
  * Used by one thread.
  */
 @Parameters(commandDescription = "Runs a model engine")
-public final class EngineCommand implements Runnable {
+public final class EngineCommand implements StandInCommand {
 
 	private static final int DEATH_STATUS = 137;
 
@@ -45,19 +46,14 @@
 	@Parameter(names = "--disk-load-milliseconds", description = "time for a load from disk")
 	private long diskLoadMilliseconds = 100;
 
-	/**
-	 * Runs an engine until the process is ended.
-	 * @param arguments the command line
-	 */
-	public static void main(String[] arguments) {
-		EngineCommand command = new EngineCommand();
-		JCommander.newBuilder().addObject(command).build().parse(arguments);
-		command.run();
+	@Override
+	public String name() {
+		return "engine";
 	}
 
 	@Override
-	public void run() {
-		EngineStandIn engine = EngineStandIn.builder()
+	public Running start() {
+		return EngineStandIn.builder()
 			.withAddress(this.host, this.port)
 			.withMemory(this.memoryBytes)
 			.withSlots(this.slots, this.tokenMilliseconds)
@@ -66,7 +62,6 @@
 			.withLoader(loader())
 			.withDeath(() -> Runtime.getRuntime().halt(DEATH_STATUS))
 			.start();
-		System.out.println("listening address=" + engine.address());
 	}
 
 	private WeightLoader loader() {
--- a/standins/src/main/java/org/masticshelf/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/masticshelf/standins/engine/EngineStandIn.java
@@ -9,6 +9,7 @@
 import io.undertow.server.HttpServerExchange;
 
 import org.masticshelf.kernel.port.Engine;
+import org.masticshelf.standins.StandInCommand;
 import org.masticshelf.standins.web.FaultSwitch;
 import org.masticshelf.standins.web.JsonExchange;
 import org.masticshelf.standins.web.WebServer;
@@ -20,7 +21,7 @@
  * Invariant: it listens from its creation until it is closed or dies of a fault. Safe for
  * use by several threads.
  */
-public final class EngineStandIn implements AutoCloseable {
+public final class EngineStandIn implements StandInCommand.Running {
 
 	private static final String FAULT_COUNT = "count";
 
@@ -68,6 +69,7 @@
 	 * Returns where the engine listens.
 	 * @return the IP number and port
 	 */
+	@Override
 	public String address() {
 		return this.server.address();
 	}
--- a/standins/src/main/java/org/masticshelf/standins/plainservice/PlainServiceStandIn.java
+++ b/standins/src/main/java/org/masticshelf/standins/plainservice/PlainServiceStandIn.java
@@ -10,6 +10,7 @@
 import io.undertow.Handlers;
 import io.undertow.server.HttpServerExchange;
 
+import org.masticshelf.standins.StandInCommand;
 import org.masticshelf.standins.web.FaultSwitch;
 import org.masticshelf.standins.web.JsonExchange;
 import org.masticshelf.standins.web.WebServer;
@@ -21,7 +22,7 @@
  * Invariant: an execution is counted before anything is answered. Safe for use by several
  * threads; counts stand under its own lock.
  */
-public final class PlainServiceStandIn implements AutoCloseable {
+public final class PlainServiceStandIn implements StandInCommand.Running {
 
 	private static final long STALL_MILLISECONDS = 600_000;
 
@@ -59,6 +60,7 @@
 	 * Returns where the service listens.
 	 * @return the IP number and port
 	 */
+	@Override
 	public String address() {
 		return this.server.address();
 	}
--- a/standins/src/main/java/org/masticshelf/standins/weightstore/WeightStoreStandIn.java
+++ b/standins/src/main/java/org/masticshelf/standins/weightstore/WeightStoreStandIn.java
@@ -7,6 +7,7 @@
 import io.undertow.Handlers;
 import io.undertow.server.HttpServerExchange;
 
+import org.masticshelf.standins.StandInCommand;
 import org.masticshelf.standins.web.JsonExchange;
 import org.masticshelf.standins.web.WebServer;
 
@@ -18,7 +19,7 @@
  * Invariant: no more model loads begin in a second than the rate. Safe for use by several
  * threads; counts stand under its own lock.
  */
-public final class WeightStoreStandIn implements AutoCloseable {
+public final class WeightStoreStandIn implements StandInCommand.Running {
 
 	private static final int FULL_SPEED_MODELS = 4;
 
@@ -77,6 +78,7 @@
 	 * Returns where the store listens.
 	 * @return the IP number and port
 	 */
+	@Override
 	public String address() {
 		return this.server.address();
 	}
