--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/configuration/ConfigurationWriter.java
@@ -0,0 +1,298 @@
+package org.masticshelf.control.configuration;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.configuration.Head;
+import org.masticshelf.kernel.configuration.Manifest;
+import org.masticshelf.kernel.configuration.Mistake;
+import org.masticshelf.kernel.configuration.OrganisationKey;
+import org.masticshelf.kernel.configuration.Pages;
+import org.masticshelf.kernel.configuration.TableValidation;
+import org.masticshelf.kernel.configuration.Tables;
+import org.masticshelf.kernel.port.KeyValueFailure;
+import org.masticshelf.kernel.port.KeyValueStore;
+
+/**
+ * Writes accepted changes of the configuration for operators.
+ * <p>
+ * Invariants: a change takes effect in one transaction that compares the head, so of two
+ * racing operators one gets a conflict; a change whose answer was lost is recognised by
+ * its identifier and never takes effect twice. Safe for use by several threads.
+ */
+public final class ConfigurationWriter {
+
+	private static final int MAXIMUM_ATTEMPTS = 5;
+
+	private static final long PAUSE_MILLISECONDS = 200;
+
+	private final KeyValueStore store;
+
+	private final ConfigurationReader reader;
+
+	private final String author;
+
+	private final Supplier<String> changeIdentifiers;
+
+	private final Executor pause;
+
+	private ConfigurationWriter(KeyValueStore store, String author, Supplier<String> changeIdentifiers,
+			Executor pause) {
+		this.store = store;
+		this.reader = new ConfigurationReader(store);
+		this.author = author;
+		this.changeIdentifiers = changeIdentifiers;
+		this.pause = pause;
+	}
+
+	/**
+	 * Creates a writer.
+	 * @param store the key-value service
+	 * @param author who makes the changes
+	 * @return the writer
+	 */
+	public static ConfigurationWriter of(KeyValueStore store, String author) {
+		Executor pause = CompletableFuture.delayedExecutor(PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS);
+		return new ConfigurationWriter(store, author, () -> UUID.randomUUID().toString(), pause);
+	}
+
+	/**
+	 * Returns a writer that runs its repeated attempts otherwise.
+	 * @param executor runs an attempt after a pause
+	 * @return the writer
+	 */
+	public ConfigurationWriter withPause(Executor executor) {
+		return new ConfigurationWriter(this.store, this.author, this.changeIdentifiers, executor);
+	}
+
+	/**
+	 * Reads the newest configuration.
+	 * @return the configuration; the future fails with a {@link KeyValueFailure} if the
+	 * service is unavailable
+	 */
+	public CompletableFuture<StoredConfiguration> read() {
+		return this.reader.read((digest) -> null);
+	}
+
+	/**
+	 * Reads the latest heads that are kept.
+	 * @return the heads, the newest first
+	 */
+	public CompletableFuture<List<Head>> history() {
+		return this.store.list(ConfigurationKeys.HISTORY_PREFIX)
+			.thenApply((snapshot) -> snapshot.entries()
+				.stream()
+				.map(KeyValueStore.Entry::value)
+				.filter(Objects::nonNull)
+				.map(Head::parse)
+				.sorted(Comparator.comparingLong(Head::revision).reversed())
+				.toList());
+	}
+
+	/**
+	 * Replaces the tables.
+	 * @param tables the new tables
+	 * @param expectedRevision the revision that the change was made from
+	 * @param note why the tables are changed
+	 * @return what became of the change, never a failed future
+	 */
+	public CompletableFuture<Result> apply(Tables tables, long expectedRevision, String note) {
+		List<Mistake> mistakes = mistakesOf(tables);
+		if (!mistakes.isEmpty()) {
+			return CompletableFuture.completedFuture(new Result.Invalid(mistakes));
+		}
+		return settle(read().thenCompose((current) -> {
+			if (current.head().revision() != expectedRevision) {
+				return CompletableFuture.completedFuture(Result.Conflict.with(current.head()));
+			}
+			return write(current, Pages.of(tables), note);
+		}));
+	}
+
+	/**
+	 * Issues or withdraws keys. A conflict with another change is resolved by applying
+	 * the change of the keys to the newer tables.
+	 * @param change computes the new keys from the present ones
+	 * @param lowestRevision the highest revision known to be in force at a daemon; the
+	 * change is refused with a conflict while the service shows an older one
+	 * @param note why the keys are changed
+	 * @return what became of the change, never a failed future
+	 */
+	public CompletableFuture<Result> changeKeys(UnaryOperator<List<OrganisationKey>> change, long lowestRevision,
+			String note) {
+		return settle(changeKeys(change, lowestRevision, note, 1));
+	}
+
+	private CompletableFuture<Result> changeKeys(UnaryOperator<List<OrganisationKey>> change, long lowestRevision,
+			String note, int attempt) {
+		return read().thenCompose((current) -> {
+			if (current.head().revision() < lowestRevision) {
+				return CompletableFuture.completedFuture(Result.Conflict.with(current.head()));
+			}
+			Tables before = current.pages().toTables();
+			Tables after = new Tables(before.routes(), before.pools(), before.organisations(),
+					change.apply(before.keys()));
+			List<Mistake> mistakes = mistakesOf(after);
+			if (!mistakes.isEmpty()) {
+				return CompletableFuture.completedFuture(new Result.Invalid(mistakes));
+			}
+			return write(current, Pages.of(after), note);
+		}).thenCompose((result) -> {
+			boolean again = result instanceof Result.Conflict conflict && conflict.revision() >= lowestRevision
+					&& attempt < MAXIMUM_ATTEMPTS;
+			return again ? changeKeys(change, lowestRevision, note, attempt + 1)
+					: CompletableFuture.completedFuture(result);
+		});
+	}
+
+	private static List<Mistake> mistakesOf(Tables tables) {
+		List<Mistake> mistakes = TableValidation.mistakes(tables);
+		return mistakes.isEmpty() ? Pages.of(tables).mistakes() : mistakes;
+	}
+
+	private CompletableFuture<Result> write(StoredConfiguration current, Pages pages, String note) {
+		Manifest before = current.pages().toManifest();
+		Manifest after = pages.toManifest();
+		if (before.equals(after)) {
+			return CompletableFuture.completedFuture(new Result.Accepted(current.head().revision()));
+		}
+		Head head = Head.of(current.head().revision() + 1, this.changeIdentifiers.get(), this.author, note, before,
+				after);
+		ConfigurationTransaction transaction = ConfigurationTransaction
+			.from(current.pages(), current.headModifyRevision())
+			.to(head, pages);
+		return transaction.stage(this.store).thenCompose((staged) -> transact(head, current, staged, 1));
+	}
+
+	private CompletableFuture<Result> transact(Head head, StoredConfiguration current,
+			KeyValueStore.Transaction transaction, int attempt) {
+		return this.store.transact(transaction)
+			.handle((outcome, failure) -> attemptOf(outcome, failure))
+			.thenCompose((seen) -> switch (seen) {
+				case APPLIED -> CompletableFuture.<Result>completedFuture(new Result.Accepted(head.revision()));
+				case REFUSED -> recognise(head);
+				case NOT_APPLIED -> CompletableFuture.<Result>completedFuture(new Result.Unavailable(false));
+				case IN_DOUBT -> resolve(head, current, transaction, attempt);
+			});
+	}
+
+	private static Attempt attemptOf(KeyValueStore.@Nullable Outcome outcome, @Nullable Throwable failure) {
+		if (outcome != null) {
+			return outcome.applied() ? Attempt.APPLIED : Attempt.REFUSED;
+		}
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		boolean maybeApplied = !(cause instanceof KeyValueFailure answer) || answer.maybeApplied();
+		return maybeApplied ? Attempt.IN_DOUBT : Attempt.NOT_APPLIED;
+	}
+
+	// Reads back whether a change in doubt took effect. The same transaction is sent
+	// again only while the head is the one that it compares with, so that it can take
+	// effect once at most.
+	private CompletableFuture<Result> resolve(Head head, StoredConfiguration current,
+			KeyValueStore.Transaction transaction, int attempt) {
+		if (attempt >= MAXIMUM_ATTEMPTS) {
+			return CompletableFuture.completedFuture(new Result.Unavailable(true));
+		}
+		return this.reader.readHead()
+			.handle((entry, failure) -> (failure != null) ? null : entry)
+			.thenComposeAsync((entry) -> {
+				if (entry == null) {
+					return resolve(head, current, transaction, attempt + 1);
+				}
+				if (entry.modifyRevision() == current.headModifyRevision()) {
+					return transact(head, current, transaction, attempt + 1);
+				}
+				return recognise(head);
+			}, this.pause);
+	}
+
+	private CompletableFuture<Result> recognise(Head own) {
+		return this.reader.readHead().thenCompose((entry) -> {
+			if (entry.head().change().equals(own.change())) {
+				return CompletableFuture.<Result>completedFuture(new Result.Accepted(own.revision()));
+			}
+			return this.store.get(ConfigurationKeys.history(own.revision()))
+				.thenApply((slot) -> isOwn(slot.value(), own) ? new Result.Accepted(own.revision())
+						: Result.Conflict.with(entry.head()));
+		}).handle((result, failure) -> (failure != null) ? new Result.Unavailable(true) : result);
+	}
+
+	private static boolean isOwn(@Nullable String slot, Head own) {
+		return slot != null && Head.parse(slot).change().equals(own.change());
+	}
+
+	private static CompletableFuture<Result> settle(CompletableFuture<Result> result) {
+		return result.exceptionally((failure) -> new Result.Unavailable(false));
+	}
+
+	private enum Attempt {
+
+		APPLIED, REFUSED, NOT_APPLIED, IN_DOUBT
+
+	}
+
+	/** What became of a change. */
+	public sealed interface Result {
+
+		/**
+		 * The change took effect.
+		 *
+		 * @param revision the revision that holds it
+		 */
+		record Accepted(long revision) implements Result {
+		}
+
+		/**
+		 * Another change came first; nothing was changed.
+		 *
+		 * @param revision the newest revision in the service
+		 * @param author who made it
+		 * @param note why it was made
+		 */
+		record Conflict(long revision, String author, String note) implements Result {
+
+			static Result with(Head head) {
+				return new Conflict(head.revision(), head.author(), head.note());
+			}
+
+		}
+
+		/**
+		 * The tables hold mistakes; nothing was changed.
+		 *
+		 * @param mistakes the mistakes, one or more
+		 */
+		record Invalid(List<Mistake> mistakes) implements Result {
+
+			/**
+			 * Creates the result.
+			 * @param mistakes the mistakes
+			 */
+			public Invalid {
+				mistakes = List.copyOf(mistakes);
+			}
+
+		}
+
+		/**
+		 * The key-value service gave no answer.
+		 *
+		 * @param maybeApplied whether the change may have taken effect; {@code false}
+		 * only if it certainly did not
+		 */
+		record Unavailable(boolean maybeApplied) implements Result {
+		}
+
+	}
+
+}
