--- a/control/src/main/java/org/masticshelf/control/configuration/ConfigurationWriter.java
+++ b/control/src/main/java/org/masticshelf/control/configuration/ConfigurationWriter.java
@@ -212,24 +212,17 @@
 				if (entry.modifyRevision() == current.headModifyRevision()) {
 					return transact(head, current, transaction, attempt + 1);
 				}
-				return recognise(head, entry);
+				return recognise(head);
 			}, this.pause);
 	}
 
 	private CompletableFuture<Result> recognise(Head own) {
-		return this.reader.readHead()
-			.thenCompose((entry) -> recognise(own, entry))
-			.exceptionally((failure) -> new Result.Unavailable(true));
-	}
-
-	private CompletableFuture<Result> recognise(Head own, ConfigurationReader.HeadEntry entry) {
-		if (entry.head().change().equals(own.change())) {
-			return CompletableFuture.completedFuture(new Result.Accepted(own.revision()));
-		}
-		return this.store.get(ConfigurationKeys.history(own.revision()))
-			.<Result>thenApply((slot) -> isOwn(slot.value(), own) ? new Result.Accepted(own.revision())
-					: Result.Conflict.with(entry.head()))
-			.exceptionally((failure) -> new Result.Unavailable(true));
+		return this.store.get(ConfigurationKeys.history(own.revision())).thenCompose((slot) -> {
+			if (isOwn(slot.value(), own)) {
+				return CompletableFuture.<Result>completedFuture(new Result.Accepted(own.revision()));
+			}
+			return this.reader.readHead().<Result>thenApply((entry) -> Result.Conflict.with(entry.head()));
+		}).exceptionally((failure) -> new Result.Unavailable(true));
 	}
 
 	private static boolean isOwn(@Nullable String slot, Head own) {
