Claims of non-idempotent requests in the key-value service

A non-idempotent request may reach two daemons, or be asked again after a lost answer or a death. The claim is a conditional create with an attempt identifier, so that a lost write answer is told from another's claim; claims and outcomes of one daemon share transactions, and a failed condition takes only its own claim out of the batch. Ruled out: a lease per claim (a write more for each) and taking over a dead daemon's running claim (may run twice). An attempt given up in doubt is dropped afterwards, since nothing ran under it. While the service cannot be asked the refusal says unknown, not not_run: an earlier request with the same key may have run.

--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/claim/ClaimAttempt.java
@@ -0,0 +1,204 @@
+package org.masticshelf.control.claim;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.port.KeyValueFailure;
+import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.kernel.refusal.Refusal;
+
+/**
+ * One try at claiming a request: creates the claim if there is none, recognises its own
+ * after a lost answer, else waits for the other one's outcome within the deadline.
+ * <p>
+ * Invariant: the result is {@link ClaimResult.Granted} only if the service holds the
+ * claim with this attempt's identifier, and at most once. Safe for use by several
+ * threads: the steps follow one another, and the result is completed once.
+ */
+final class ClaimAttempt {
+
+	/** How long a write in doubt is tried again before the request is refused. */
+	static final long DOUBT_NANOSECONDS = 3_000_000_000L;
+
+	private final ClaimContext context;
+
+	private final ClaimRegistry registry;
+
+	private final ClaimRequest request;
+
+	private final String key;
+
+	private final ClaimRecord own;
+
+	private final CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+
+	private volatile boolean doubtful;
+
+	private volatile long doubtEnds;
+
+	private volatile boolean following;
+
+	ClaimAttempt(ClaimContext context, ClaimRegistry registry, ClaimRequest request, String attempt) {
+		this.context = context;
+		this.registry = registry;
+		this.request = request;
+		this.key = request.toStoreKey();
+		this.own = new ClaimRecord(attempt, context.incarnation(), request.fingerprint(), ClaimRecord.State.RUNNING,
+				null);
+	}
+
+	void start() {
+		this.context.delay().run(this.request.deadline() - this.context.clock().nanoseconds(), this::deadlinePassed);
+		create(0, 1);
+	}
+
+	private void deadlinePassed() {
+		end(this.following ? ClaimRegistry.outcomeUnknown() : ClaimRegistry.unavailable());
+	}
+
+	private void create(long replacedRevision, int tries) {
+		if (this.result.isDone()) {
+			return;
+		}
+		this.context.lease().current().whenComplete((lease, failure) -> {
+			if (failure != null) {
+				failed(failure, replacedRevision, tries);
+			}
+			else {
+				put(lease, replacedRevision, tries);
+			}
+		});
+	}
+
+	private void put(long lease, long replacedRevision, int tries) {
+		KeyValueStore.Condition expected = new KeyValueStore.Condition.ModifiedAt(this.key, replacedRevision);
+		this.context.commit()
+			.write(expected, new KeyValueStore.Operation.Put(this.key, this.own.toJson(), lease))
+			.whenComplete((written, failure) -> {
+				if (failure != null) {
+					this.context.lease().forget(lease);
+					failed(failure, replacedRevision, tries);
+				}
+				else if (written.applied()) {
+					grant(written.revision(), lease);
+				}
+				else {
+					judge(written.current(), lease, tries);
+				}
+			});
+	}
+
+	private void grant(long modifyRevision, long lease) {
+		Claim claim = new Claim(this.registry, this.key, this.own, modifyRevision, lease);
+		if (!this.result.complete(new ClaimResult.Granted(claim))) {
+			this.registry.abandoned(this.key, this.own.attempt());
+		}
+	}
+
+	private void failed(Throwable failure, long replacedRevision, int tries) {
+		boolean maybeApplied = !(GroupCommit.failureOf(failure) instanceof KeyValueFailure known)
+				|| known.maybeApplied();
+		if (maybeApplied && !this.doubtful) {
+			this.doubtEnds = this.context.clock().nanoseconds() + DOUBT_NANOSECONDS;
+			this.doubtful = true;
+		}
+		boolean worthTrying = this.doubtful ? !this.context.hasPassed(this.doubtEnds) : tries <= 1;
+		if (worthTrying) {
+			this.context.later(tries, () -> create(replacedRevision, tries + 1));
+		}
+		else {
+			end(ClaimRegistry.unavailable());
+		}
+	}
+
+	private void judge(KeyValueStore.@Nullable Entry entry, long lease, int tries) {
+		if (entry == null || entry.value() == null) {
+			create(0, tries + 1);
+			return;
+		}
+		ClaimRecord current = ClaimRecord.parse(entry.value());
+		if (current == null) {
+			end(ClaimRegistry.outcomeUnknown());
+		}
+		else if (current.attempt().equals(this.own.attempt())) {
+			grant(entry.modifyRevision(), lease);
+		}
+		else if (this.registry.isAbandoned(current.attempt())) {
+			create(entry.modifyRevision(), tries + 1);
+		}
+		else if (!current.fingerprint().equals(this.own.fingerprint())) {
+			end(ClaimRegistry.keyReused());
+		}
+		else {
+			follow(current, tries);
+		}
+	}
+
+	private void follow(ClaimRecord other, int tries) {
+		switch (other.state()) {
+			case DONE -> repeat(other.outcome());
+			case NOT_KEPT -> end(ClaimRegistry.notKept());
+			case UNKNOWN -> end(ClaimRegistry.outcomeUnknown());
+			case RUNNING -> {
+				if (mayStillEnd(other)) {
+					this.following = true;
+					this.context.later(tries, () -> look(tries + 1));
+				}
+				else {
+					end(ClaimRegistry.outcomeUnknown());
+				}
+			}
+		}
+	}
+
+	// A claim of this daemon that is not open any more will not be settled.
+	private boolean mayStillEnd(ClaimRecord other) {
+		return !other.incarnation().equals(this.context.incarnation())
+				&& this.context.isRunning().test(other.incarnation());
+	}
+
+	private void look(int tries) {
+		if (this.result.isDone()) {
+			return;
+		}
+		this.context.store().get(this.key).whenComplete((entry, failure) -> {
+			if (failure != null) {
+				this.context.later(tries, () -> look(tries + 1));
+			}
+			else {
+				judge(entry, 0, tries);
+			}
+		});
+	}
+
+	private void repeat(@Nullable RecordedOutcome outcome) {
+		if (outcome != null) {
+			this.result.complete(new ClaimResult.Repeated(outcome));
+		}
+		else {
+			end(ClaimRegistry.outcomeUnknown());
+		}
+	}
+
+	// The claim may be or come into being after this: it is dropped, since nothing was
+	// dispatched under it.
+	private void end(Refusal refusal) {
+		if (this.result.complete(new ClaimResult.Refused(refusal)) && this.doubtful) {
+			this.registry.abandoned(this.key, this.own.attempt());
+		}
+	}
+
+	CompletableFuture<ClaimResult> result() {
+		return this.result;
+	}
+
+	ClaimRequest request() {
+		return this.request;
+	}
+
+	String key() {
+		return this.key;
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/claim/Delay.java
@@ -0,0 +1,35 @@
+package org.masticshelf.control.claim;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs tasks later.
+ * <p>
+ * Implementations are safe for use by several threads.
+ */
+@FunctionalInterface
+public interface Delay {
+
+	/**
+	 * Runs a task once after a delay.
+	 * @param nanoseconds the delay, 0 or less for as soon as possible
+	 * @param task the task
+	 */
+	void run(long nanoseconds, Runnable task);
+
+	/**
+	 * Runs tasks by a scheduler.
+	 *
+	 * @param scheduler the scheduler
+	 */
+	record ForScheduler(ScheduledExecutorService scheduler) implements Delay {
+
+		@Override
+		public void run(long nanoseconds, Runnable task) {
+			this.scheduler.schedule(task, Math.max(nanoseconds, 0), TimeUnit.NANOSECONDS);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/claim/GroupCommit.java
@@ -0,0 +1,185 @@
+package org.masticshelf.control.claim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.port.KeyValueFailure;
+import org.masticshelf.kernel.port.KeyValueStore;
+
+/**
+ * Writes many independent conditional changes in few transactions: while one is under
+ * way, further changes gather for the next.
+ * <p>
+ * Invariants: a change takes effect only if its own condition held; the failure of one
+ * change's condition does not fail another's; one transaction is under way at a time and
+ * holds each key once. Safe for use by several threads; the state is guarded by one lock
+ * that is not held while the service is called or futures are completed.
+ */
+public final class GroupCommit {
+
+	/** The most changes in one transaction. */
+	public static final int MAXIMUM_CHANGES = 64;
+
+	private static final int MAXIMUM_BYTES = 524_288;
+
+	private final KeyValueStore store;
+
+	private final Object lock = new Object();
+
+	private final Deque<Change> waiting = new ArrayDeque<>();
+
+	private boolean busy;
+
+	/**
+	 * Creates a group commit.
+	 * @param store the key-value service
+	 */
+	public GroupCommit(KeyValueStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Makes a change if its condition holds.
+	 * @param condition the condition, on the key that is changed
+	 * @param operation the change
+	 * @return whether it was applied; the future fails with a {@link KeyValueFailure} if
+	 * the service gave no answer
+	 */
+	public CompletableFuture<Written> write(KeyValueStore.Condition condition, KeyValueStore.Operation operation) {
+		Change change = new Change(condition, operation, new CompletableFuture<>());
+		synchronized (this.lock) {
+			this.waiting.add(change);
+		}
+		startNext();
+		return change.written();
+	}
+
+	private void startNext() {
+		List<Change> batch;
+		synchronized (this.lock) {
+			if (this.busy || this.waiting.isEmpty()) {
+				return;
+			}
+			this.busy = true;
+			batch = takeBatch();
+		}
+		transact(batch).whenComplete((ignored, failure) -> {
+			synchronized (this.lock) {
+				this.busy = false;
+			}
+			startNext();
+		});
+	}
+
+	private List<Change> takeBatch() {
+		List<Change> batch = new ArrayList<>();
+		List<Change> later = new ArrayList<>();
+		Set<String> keys = new HashSet<>();
+		int bytes = 0;
+		while (!this.waiting.isEmpty() && batch.size() < MAXIMUM_CHANGES && bytes < MAXIMUM_BYTES) {
+			Change next = this.waiting.removeFirst();
+			if (keys.add(next.condition().key())) {
+				batch.add(next);
+				bytes += next.bytes();
+			}
+			else {
+				later.add(next);
+			}
+		}
+		for (int index = later.size() - 1; index >= 0; index--) {
+			this.waiting.addFirst(later.get(index));
+		}
+		return batch;
+	}
+
+	private CompletableFuture<Void> transact(List<Change> batch) {
+		List<KeyValueStore.Condition> conditions = batch.stream().map(Change::condition).toList();
+		List<KeyValueStore.Operation> operations = batch.stream().map(Change::operation).toList();
+		return this.store.transact(new KeyValueStore.Transaction(conditions, operations))
+			.handle((outcome, failure) -> (failure != null) ? failed(batch, failure) : answered(batch, outcome))
+			.thenCompose((next) -> next);
+	}
+
+	private CompletableFuture<Void> answered(List<Change> batch, KeyValueStore.Outcome outcome) {
+		if (outcome.applied()) {
+			batch.forEach((change) -> change.written().complete(new Written(true, outcome.revision(), null)));
+			return CompletableFuture.completedFuture(null);
+		}
+		Map<String, KeyValueStore.Entry> current = new HashMap<>();
+		outcome.current().forEach((entry) -> current.put(entry.key(), entry));
+		List<Change> remaining = new ArrayList<>();
+		for (Change change : batch) {
+			String key = change.condition().key();
+			KeyValueStore.Entry entry = current.getOrDefault(key, KeyValueStore.Entry.absent(key));
+			if (holds(change.condition(), entry)) {
+				remaining.add(change);
+			}
+			else {
+				change.written().complete(new Written(false, outcome.revision(), entry));
+			}
+		}
+		return (remaining.size() < batch.size()) ? transactAll(remaining) : oneByOne(batch);
+	}
+
+	private CompletableFuture<Void> failed(List<Change> batch, Throwable failure) {
+		boolean refusedAsWhole = failureOf(failure) instanceof KeyValueFailure known && !known.maybeApplied();
+		if (refusedAsWhole && batch.size() > 1) {
+			return oneByOne(batch);
+		}
+		batch.forEach((change) -> change.written().completeExceptionally(failureOf(failure)));
+		return CompletableFuture.completedFuture(null);
+	}
+
+	private CompletableFuture<Void> transactAll(List<Change> changes) {
+		return changes.isEmpty() ? CompletableFuture.completedFuture(null) : transact(changes);
+	}
+
+	private CompletableFuture<Void> oneByOne(List<Change> batch) {
+		CompletableFuture<Void> last = CompletableFuture.completedFuture(null);
+		for (Change change : batch) {
+			last = last.thenCompose((ignored) -> transact(List.of(change)));
+		}
+		return last;
+	}
+
+	private static boolean holds(KeyValueStore.Condition condition, KeyValueStore.Entry entry) {
+		return switch (condition) {
+			case KeyValueStore.Condition.ModifiedAt modified -> entry.modifyRevision() == modified.modifyRevision();
+			case KeyValueStore.Condition.CreatedAt created -> entry.createRevision() == created.createRevision();
+		};
+	}
+
+	static Throwable failureOf(Throwable failure) {
+		return (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause() : failure;
+	}
+
+	/**
+	 * The answer to a change.
+	 *
+	 * @param applied whether it took effect
+	 * @param revision the revision of the store afterwards
+	 * @param current the entry of the key if it did not, else {@code null}
+	 */
+	public record Written(boolean applied, long revision, KeyValueStore.@Nullable Entry current) {
+	}
+
+	private record Change(KeyValueStore.Condition condition, KeyValueStore.Operation operation,
+			CompletableFuture<Written> written) {
+
+		int bytes() {
+			return (this.operation instanceof KeyValueStore.Operation.Put put) ? put.value().length() : 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/claim/HourlyLease.java
@@ -0,0 +1,82 @@
+package org.masticshelf.control.claim;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.kernel.time.MonotonicClock;
+
+/**
+ * A lease shared by all claims that one daemon makes within an hour. It is never renewed,
+ * so that each claim lives between 24 and 25 hours.
+ * <p>
+ * Safe for use by several threads; the state is guarded by one lock that is not held
+ * while the service is called.
+ */
+final class HourlyLease {
+
+	static final Duration LIFE_OF_CLAIM = Duration.ofHours(24);
+
+	static final Duration USE = Duration.ofHours(1);
+
+	private final KeyValueStore store;
+
+	private final MonotonicClock clock;
+
+	private final Object lock = new Object();
+
+	private @Nullable CompletableFuture<Long> lease;
+
+	private long asked;
+
+	HourlyLease(KeyValueStore store, MonotonicClock clock) {
+		this.store = store;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the lease of this hour, created by the first claim that needs it.
+	 * @return the identifier; the future fails if the service gave no lease
+	 */
+	CompletableFuture<Long> current() {
+		CompletableFuture<Long> created;
+		synchronized (this.lock) {
+			if (this.lease != null && isUsable(this.lease)) {
+				return this.lease;
+			}
+			created = new CompletableFuture<>();
+			this.lease = created;
+			this.asked = this.clock.nanoseconds();
+		}
+		this.store.grantLease(LIFE_OF_CLAIM.plus(USE)).whenComplete((identifier, failure) -> {
+			if (failure != null) {
+				created.completeExceptionally(GroupCommit.failureOf(failure));
+			}
+			else {
+				created.complete(identifier);
+			}
+		});
+		return created;
+	}
+
+	private boolean isUsable(CompletableFuture<Long> existing) {
+		boolean young = this.clock.nanoseconds() - this.asked < USE.toNanos();
+		return young && !existing.isCompletedExceptionally();
+	}
+
+	/**
+	 * Forgets a lease that the service no longer knows.
+	 * @param identifier the lease
+	 */
+	void forget(long identifier) {
+		synchronized (this.lock) {
+			if (this.lease != null && this.lease.isDone() && !this.lease.isCompletedExceptionally()
+					&& this.lease.join() == identifier) {
+				this.lease = null;
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/org/masticshelf/control/claim/RecordedOutcome.java
@@ -0,0 +1,30 @@
+package org.masticshelf.control.claim;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+
+/**
+ * The answer to a non-idempotent request, kept for callers that ask again.
+ * <p>
+ * Immutable as long as nobody writes to the body.
+ *
+ * @param status the HTTP status
+ * @param contentType the content type, empty if there is none
+ * @param body the body
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record RecordedOutcome(int status, String contentType, byte[] body) {
+
+	/** The largest body that is kept, in bytes. */
+	public static final int MAXIMUM_BODY_BYTES = 16_384;
+
+	/**
+	 * Returns whether this outcome is small enough to be kept.
+	 * @return whether the body is within {@link #MAXIMUM_BODY_BYTES}
+	 */
+	@JsonIgnore
+	public boolean isKept() {
+		return this.body.length <= MAXIMUM_BODY_BYTES;
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/org/masticshelf/control/claim/ClaimRegistryTests.java
@@ -0,0 +1,266 @@
+package org.masticshelf.control.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.masticshelf.standins.keyvalue.KeyValueCall;
+
+class ClaimRegistryTests {
+
+	private static final String REUSED = "IDEMPOTENCY_KEY_REUSED/NOT_RUN";
+
+	private static final String UNKNOWN = "OUTCOME_UNKNOWN/UNKNOWN";
+
+	private static final String UNAVAILABLE = "CLAIM_UNAVAILABLE/UNKNOWN";
+
+	private final ClaimWorld world = new ClaimWorld();
+
+	private final ClaimWorld.Daemon first = this.world.start();
+
+	private final ClaimWorld.Daemon second = this.world.start();
+
+	@Test
+	void grantsOneOfTwoDaemonsAtOnceAndTheOtherGetsTheOutcome() {
+		this.world.store.faults().holdRequests();
+		CompletableFuture<ClaimResult> one = this.first.ask("k");
+		CompletableFuture<ClaimResult> other = this.second.ask("k");
+		releaseAll();
+		Truth.assertThat(List.of(render(one), render(other))).containsExactly("GRANTED", "PENDING");
+		CompletableFuture<ClaimResult> winner = render(one).equals("GRANTED") ? one : other;
+		claim(winner).complete(ClaimWorld.answer("done"));
+		this.world.advance(Duration.ofSeconds(3));
+		Truth.assertThat(List.of(render(one), render(other))).containsExactly("GRANTED", "REPEATED done");
+	}
+
+	private void releaseAll() {
+		while (this.world.store.faults().heldCount() > 0) {
+			this.world.store.faults().release();
+		}
+	}
+
+	@Test
+	void grantsOneOfTwoRequestsAtOneDaemon() {
+		CompletableFuture<ClaimResult> one = this.first.ask("k");
+		CompletableFuture<ClaimResult> other = this.first.ask("k");
+		claim(one).complete(ClaimWorld.answer("done"));
+		Truth.assertThat(render(other)).isEqualTo("REPEATED done");
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void sameKeyWithAnotherBodyIsRefused(boolean sameDaemon) {
+		this.first.ask("k");
+		ClaimWorld.Daemon daemon = sameDaemon ? this.first : this.second;
+		Truth.assertThat(render(daemon.ask("k", "another order", Duration.ofSeconds(1)))).isEqualTo(REUSED);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "TRANSACT, 1", "TRANSACT, 3", "GRANT_LEASE, 1" })
+	void recognisesOwnClaimAfterLostAnswers(KeyValueCall call, int lost) {
+		this.first.client.faults().loseNextAnswers(call, lost);
+		CompletableFuture<ClaimResult> claimed = this.first.ask("k");
+		this.world.advance(Duration.ofSeconds(2));
+		Truth.assertThat(render(claimed)).isEqualTo("GRANTED");
+	}
+
+	@Test
+	void recordsOutcomeAfterLostAnswer() {
+		Claim claim = claim(this.first.ask("k"));
+		this.first.client.faults().loseNextAnswers(KeyValueCall.TRANSACT, 1);
+		CompletableFuture<Boolean> recorded = claim.complete(ClaimWorld.answer("done"));
+		this.world.advance(Duration.ofSeconds(1));
+		Truth.assertThat(recorded.join()).isTrue();
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("REPEATED done");
+	}
+
+	@ParameterizedTest
+	@EnumSource
+	void runsAtMostOnceWhereverTheDaemonDies(Death death) {
+		int runs = dieAt(death);
+		CompletableFuture<ClaimResult> repeated = this.second.ask("k");
+		this.world.advance(Duration.ofSeconds(11));
+		int all = runs + (render(repeated).equals("GRANTED") ? 1 : 0);
+		Truth.assertThat(render(repeated)).isEqualTo(death.repeated);
+		Truth.assertThat(all).isAtMost(1);
+	}
+
+	private int dieAt(Death death) {
+		if (death == Death.BEFORE_CLAIM) {
+			this.first.die();
+			return 0;
+		}
+		if (death == Death.CLAIM_APPLIED) {
+			this.first.client.faults().loseNextAnswers(KeyValueCall.TRANSACT, 1);
+		}
+		CompletableFuture<ClaimResult> claimed = this.first.ask("k");
+		if (death == Death.CLAIM_APPLIED || death == Death.BEFORE_DISPATCH) {
+			this.first.die();
+			return 0;
+		}
+		if (death == Death.AFTER_RECORD) {
+			claim(claimed).complete(ClaimWorld.answer("done"));
+		}
+		this.first.die();
+		if (death == Death.BEFORE_RECORD) {
+			claim(claimed).complete(ClaimWorld.answer("done"));
+		}
+		return 1;
+	}
+
+	@Test
+	void refusesDuringOutageAndGrantsAfterwards() {
+		this.world.store.faults().setDown(true);
+		CompletableFuture<ClaimResult> during = this.first.ask("k");
+		this.world.advance(Duration.ofMillis(200));
+		Truth.assertThat(render(during)).isEqualTo(UNAVAILABLE);
+		this.world.store.faults().setDown(false);
+		Truth.assertThat(render(this.first.ask("k"))).isEqualTo("GRANTED");
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void claimThatArrivesAfterTheRefusalIsDropped(boolean sameDaemon) {
+		this.first.client.faults().holdRequests();
+		CompletableFuture<ClaimResult> refused = this.first.ask("k", "one order", Duration.ofSeconds(1));
+		this.first.client.faults().release();
+		this.first.client.faults().holdAnswers();
+		CompletableFuture<ClaimResult> late = this.first.ask("l", "one order", Duration.ofSeconds(1));
+		this.world.advance(Duration.ofSeconds(2));
+		this.first.client.faults().release();
+		this.world.advance(Duration.ofSeconds(1));
+		Truth.assertThat(render(refused)).isEqualTo("GRANTED");
+		Truth.assertThat(render(late)).isEqualTo(UNAVAILABLE);
+		Truth.assertThat(render((sameDaemon ? this.first : this.second).ask("l"))).isEqualTo("GRANTED");
+	}
+
+	@Test
+	void releasedClaimIsGrantedAgain() {
+		claim(this.first.ask("k")).release();
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("GRANTED");
+	}
+
+	@Test
+	void tooLargeOutcomeIsNotKept() {
+		claim(this.first.ask("k")).complete(ClaimWorld.answer("x".repeat(RecordedOutcome.MAXIMUM_BODY_BYTES + 1)));
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("OUTCOME_NOT_KEPT/UNKNOWN");
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void unknownOutcomeIsToldAtOnce(boolean sameDaemon) {
+		claim(this.first.ask("k")).unknown();
+		Truth.assertThat(render((sameDaemon ? this.first : this.second).ask("k"))).isEqualTo(UNKNOWN);
+	}
+
+	@Test
+	void waitsForRunningRequestOnlyUntilDeadline() {
+		this.first.ask("k");
+		CompletableFuture<ClaimResult> repeated = this.second.ask("k", "one order", Duration.ofSeconds(5));
+		this.world.advance(Duration.ofMillis(4_900));
+		Truth.assertThat(render(repeated)).isEqualTo("PENDING");
+		this.world.advance(Duration.ofMillis(200));
+		Truth.assertThat(render(repeated)).isEqualTo(UNKNOWN);
+	}
+
+	@Test
+	void outcomeOfAnOutageIsRecordedAfterIt() {
+		Claim claim = claim(this.first.ask("k"));
+		this.world.store.faults().setDown(true);
+		claim.complete(ClaimWorld.answer("done"));
+		this.world.advance(Duration.ofSeconds(60));
+		Truth.assertThat(this.first.registry.openClaims()).isEqualTo(1);
+		this.world.store.faults().setDown(false);
+		this.world.advance(Duration.ofSeconds(3));
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("REPEATED done");
+		Truth.assertThat(this.first.registry.openClaims()).isEqualTo(0);
+	}
+
+	@Test
+	void claimLivesADay() {
+		claim(this.first.ask("k")).complete(ClaimWorld.answer("done"));
+		this.world.advance(Duration.ofHours(23));
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("REPEATED done");
+		this.world.advance(Duration.ofHours(3));
+		Truth.assertThat(render(this.second.ask("k"))).isEqualTo("GRANTED");
+	}
+
+	@Test
+	void oneLeaseServesAnHour() {
+		for (int index = 0; index < 20; index++) {
+			this.first.ask("k" + index);
+			this.world.advance(Duration.ofMinutes(2));
+		}
+		Truth.assertThat(this.world.store.count(KeyValueCall.GRANT_LEASE)).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, 2.0", "16, 0.3", "64, 0.1" })
+	void writesFewTimesPerRequest(int atOnce, double bound) {
+		int requests = 640;
+		claim(this.first.ask("creates the lease"));
+		long before = this.world.store.count(KeyValueCall.TRANSACT);
+		for (int start = 0; start < requests; start += atOnce) {
+			wave(start, atOnce);
+		}
+		double writes = (double) (this.world.store.count(KeyValueCall.TRANSACT) - before) / requests;
+		System.out.println("key-value writes per non-idempotent request, " + atOnce + " at once: " + writes);
+		Truth.assertThat(writes).isAtMost(bound);
+	}
+
+	private void wave(int start, int atOnce) {
+		List<CompletableFuture<ClaimResult>> claimed = new ArrayList<>();
+		this.first.client.faults().holdAnswers();
+		for (int index = 0; index < atOnce; index++) {
+			claimed.add(this.first.ask("k" + (start + index)));
+		}
+		while (this.first.client.faults().heldCount() > 0) {
+			this.first.client.faults().release();
+		}
+		this.first.client.faults().holdAnswers();
+		claimed.forEach((result) -> claim(result).complete(ClaimWorld.answer("done")));
+		while (this.first.client.faults().heldCount() > 0) {
+			this.first.client.faults().release();
+		}
+	}
+
+	static Claim claim(CompletableFuture<ClaimResult> result) {
+		return ((ClaimResult.Granted) result.join()).claim();
+	}
+
+	static String render(CompletableFuture<ClaimResult> result) {
+		if (!result.isDone()) {
+			return "PENDING";
+		}
+		return switch (result.join()) {
+			case ClaimResult.Granted granted -> "GRANTED";
+			case ClaimResult.Repeated repeated ->
+				"REPEATED " + new String(repeated.outcome().body(), StandardCharsets.UTF_8);
+			case ClaimResult.Refused refused -> refused.refusal().reason() + "/" + refused.refusal().ran();
+		};
+	}
+
+	/** Where a daemon dies, and what the caller hears that asks another one again. */
+	enum Death {
+
+		BEFORE_CLAIM("GRANTED"), CLAIM_APPLIED(UNKNOWN), BEFORE_DISPATCH(UNKNOWN), AFTER_DISPATCH(UNKNOWN),
+		BEFORE_RECORD(UNKNOWN), AFTER_RECORD("REPEATED done");
+
+		private final String repeated;
+
+		Death(String repeated) {
+			this.repeated = repeated;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/org/masticshelf/control/claim/ClaimWorld.java
@@ -0,0 +1,80 @@
+package org.masticshelf.control.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.time.MonotonicClock;
+import org.masticshelf.standins.keyvalue.InMemoryKeyValue;
+
+/** A key-value service and daemons with claim registries of their own. */
+final class ClaimWorld {
+
+	static final QualifiedName ORGANISATION = QualifiedName.of("sofia/stitchers");
+
+	static final QualifiedName ROUTE = QualifiedName.of("sofia/orders");
+
+	final MonotonicClock.Manual clock = new MonotonicClock.Manual();
+
+	final ManualDelay delay = new ManualDelay(this.clock);
+
+	final InMemoryKeyValue store = new InMemoryKeyValue(this.clock);
+
+	final Set<String> running = new HashSet<>();
+
+	private int daemons;
+
+	Daemon start() {
+		String incarnation = "daemon-" + this.daemons++;
+		this.running.add(incarnation);
+		return new Daemon(incarnation, this.store.client());
+	}
+
+	void advance(Duration step) {
+		this.delay.advance(step);
+	}
+
+	ClaimRequest request(String key, String body, Duration patience) {
+		String fingerprint = ClaimRequest.fingerprintOf("POST", "/orders", body.getBytes(StandardCharsets.UTF_8));
+		return new ClaimRequest(ORGANISATION, ROUTE, key, fingerprint, this.clock.nanoseconds() + patience.toNanos());
+	}
+
+	static RecordedOutcome answer(String text) {
+		return new RecordedOutcome(200, "text/plain", text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/** A daemon, which loses its way to the service for good when it dies. */
+	final class Daemon {
+
+		final String incarnation;
+
+		final InMemoryKeyValue.Client client;
+
+		final ClaimRegistry registry;
+
+		Daemon(String incarnation, InMemoryKeyValue.Client client) {
+			this.incarnation = incarnation;
+			this.client = client;
+			this.registry = new ClaimRegistry(client, ClaimWorld.this.clock, ClaimWorld.this.delay, incarnation,
+					ClaimWorld.this.running::contains);
+		}
+
+		CompletableFuture<ClaimResult> ask(String key) {
+			return ask(key, "one order", Duration.ofSeconds(10));
+		}
+
+		CompletableFuture<ClaimResult> ask(String key, String body, Duration patience) {
+			return this.registry.claim(request(key, body, patience));
+		}
+
+		void die() {
+			this.client.faults().setDown(true);
+			ClaimWorld.this.running.remove(this.incarnation);
+		}
+
+	}
+
+}
--- a/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
@@ -47,6 +47,16 @@
 		return new Refusal(reason, Ran.UNKNOWN, 0);
 	}
 
+	/**
+	 * Returns a copy for a request that may repeat an earlier one, such as a
+	 * non-idempotent request whose claim was not looked up: this exchange did not run,
+	 * but an earlier one with the same idempotency key may have.
+	 * @return the refusal that says {@link Ran#UNKNOWN}
+	 */
+	public Refusal toPossiblyRepeated() {
+		return new Refusal(this.reason, Ran.UNKNOWN, this.retryAfterMilliseconds);
+	}
+
 	/**
 	 * Returns the HTTP status.
 	 * @return the status code
@@ -157,6 +167,9 @@
 		/** An earlier attempt with the idempotency key has no known outcome. */
 		OUTCOME_UNKNOWN(409),
 
+		/** The request was answered earlier with more than is kept. */
+		OUTCOME_NOT_KEPT(409),
+
 		/** This daemon is about to stop. */
 		DRAINING(503),
 
