--- /dev/null
+++ b/adapters/src/test/java/org/masticshelf/adapters/instancelist/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Failure tests of the list of instances.
+ */
+@NullMarked
+package org.masticshelf.adapters.instancelist;
+
+import org.jspecify.annotations.NullMarked;
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
@@ -96,6 +96,16 @@
 		}
 	}
 
+	/**
+	 * Returns the revision of the last change.
+	 * @return the revision
+	 */
+	public long revision() {
+		synchronized (this.lock) {
+			return this.state.revision();
+		}
+	}
+
 	/**
 	 * Copies the present state, to restore it later.
 	 * @return the copy
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayCalls.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayCalls.java
@@ -56,7 +56,7 @@
 		if (request.rangeEnd() == null) {
 			String key = GatewayMessages.decode(request.key());
 			return this.store.get(key)
-				.thenApply((entry) -> GatewayMessages.RangeResponse.of(List.of(entry), entry.modifyRevision()));
+				.thenApply((entry) -> GatewayMessages.RangeResponse.of(List.of(entry), this.store.revision()));
 		}
 		return this.store.list(prefixOf(request.key(), request.rangeEnd()))
 			.thenApply((listed) -> GatewayMessages.RangeResponse.of(listed.entries(), listed.revision()));
