--- /dev/null
+++ b/ctl/src/main/java/org/masticshelf/ctl/sample/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Sample tables at the sizes of the two deployments.
+ */
+@NullMarked
+package org.masticshelf.ctl.sample;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ctl/src/test/java/org/masticshelf/ctl/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the operators' tool.
+ */
+@NullMarked
+package org.masticshelf.ctl;
+
+import org.jspecify.annotations.NullMarked;
