--- a/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
@@ -63,6 +63,10 @@
 
 	private long loanFencing;
 
+	private long offeredLoanEnd;
+
+	private long loanEnd;
+
 	private boolean abandoned;
 
 	private boolean left;
@@ -259,6 +263,7 @@
 		}
 		else if (current.request().lendMilliseconds() > 0) {
 			this.loanFencing = answer.fencing();
+			this.loanEnd = this.offeredLoanEnd;
 		}
 		current.group().answered(answer, now);
 		this.slices.forget(current.request().slices());
@@ -318,6 +323,7 @@
 		if (end <= now) {
 			return 0;
 		}
+		this.offeredLoanEnd = end;
 		this.credits.addAt(last, this.allotment.lend(end, now));
 		return lend;
 	}
@@ -350,7 +356,7 @@
 			return false;
 		}
 		if (this.allotment.isHeld(now)) {
-			return this.loanFencing != last.fencing();
+			return this.loanFencing != last.fencing() || this.loanEnd - now < GrantTimes.IDLE_INTERVAL_NANOSECONDS;
 		}
 		return now - this.keeperSeenAt < GrantTimes.ACTIVE_NANOSECONDS;
 	}
