--- a/daemon/src/main/java/org/masticshelf/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/CallerExchange.java
@@ -183,6 +183,9 @@
 	@Override
 	public void onGone(Runnable action) {
 		this.exchange.getIoThread().execute(() -> {
+			if (this.exchange.isComplete()) {
+				return;
+			}
 			if (!this.exchange.getConnection().isOpen()) {
 				action.run();
 				return;
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/CallerListener.java
@@ -0,0 +1,208 @@
+package org.masticshelf.daemon.caller;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.jspecify.annotations.Nullable;
+import org.xnio.Options;
+
+import org.masticshelf.daemon.request.CallerAnswer;
+import org.masticshelf.daemon.request.PlainCall;
+import org.masticshelf.daemon.request.RequestEntry;
+import org.masticshelf.daemon.settings.DaemonSettings;
+import org.masticshelf.kernel.refusal.Refusal;
+import org.masticshelf.transport.json.Json;
+
+/**
+ * The listener for callers: OpenAI-style calls to models below {@code /v1/}, and plain
+ * calls at {@code /<workshop>/<route>/<path>}.
+ * <p>
+ * Invariants: bodies, headers and connections are bounded; a key leaves this class only
+ * as the key of a {@link RequestEntry.Caller}. Safe for use by several threads.
+ */
+public final class CallerListener implements AutoCloseable {
+
+	private static final Set<String> MODEL_PATHS = Set.of("/v1/chat/completions", "/v1/completions");
+
+	private static final Set<String> PASSED_HEADERS = Set.of("content-type", "accept", "accept-language",
+			"idempotency-key", "if-match", "if-none-match");
+
+	private static final HttpString REQUEST_IDENTIFIER = new HttpString("x-request-id");
+
+	private static final HttpString DEADLINE = new HttpString("x-deadline-ms");
+
+	private static final HttpString IDEMPOTENCY_KEY = new HttpString("idempotency-key");
+
+	private static final HttpString API_KEY = new HttpString("x-api-key");
+
+	private static final String BEARER = "Bearer ";
+
+	private static final int MAXIMUM_IDENTIFIER_CHARACTERS = 128;
+
+	private static final int NO_REQUEST_TIMEOUT_MILLISECONDS = 60_000;
+
+	private static final int REQUEST_PARSE_TIMEOUT_MILLISECONDS = 10_000;
+
+	private static final int DRAINED_BODIES = 8;
+
+	private final RequestEntry entry;
+
+	private final long maximumBodyBytes;
+
+	private final Undertow server;
+
+	private CallerListener(String host, int port, DaemonSettings.Limits limits, RequestEntry entry) {
+		this.entry = entry;
+		this.maximumBodyBytes = limits.maximumBodyBytes();
+		this.server = Undertow.builder()
+			.addHttpListener(port, host, this::handle)
+			.setIoThreads(limits.ioThreads())
+			.setWorkerThreads(1)
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maximumBodyBytes() * DRAINED_BODIES)
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maximumHeaderBytes())
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLISECONDS)
+			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLISECONDS)
+			.setSocketOption(Options.TCP_NODELAY, true)
+			.setSocketOption(Options.BACKLOG, 4096)
+			.setSocketOption(Options.CONNECTION_HIGH_WATER, limits.maximumConnections())
+			.setSocketOption(Options.CONNECTION_LOW_WATER, limits.maximumConnections())
+			.build();
+	}
+
+	/**
+	 * Starts the listener.
+	 * @param address the IP number and port
+	 * @param limits bounds on what callers may use
+	 * @param entry takes the requests
+	 * @return the running listener
+	 */
+	public static CallerListener start(String address, DaemonSettings.Limits limits, RequestEntry entry) {
+		int colon = address.lastIndexOf(':');
+		CallerListener listener = new CallerListener(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)), limits, entry);
+		listener.server.start();
+		return listener;
+	}
+
+	/**
+	 * Returns the address that the listener is bound to.
+	 * @return the IP number and port
+	 */
+	public String address() {
+		InetSocketAddress bound = (InetSocketAddress) this.server.getListenerInfo().getFirst().getAddress();
+		return bound.getAddress().getHostAddress() + ":" + bound.getPort();
+	}
+
+	private void handle(HttpServerExchange exchange) {
+		CallerExchange answer = new CallerExchange(exchange, echoedIdentifier(exchange));
+		if (exchange.getRequestContentLength() > this.maximumBodyBytes) {
+			refuseBody(exchange, answer);
+			return;
+		}
+		exchange.getRequestReceiver().setMaxBufferSize((int) this.maximumBodyBytes);
+		exchange.getRequestReceiver()
+			.receiveFullBytes((receiving, body) -> receiving.dispatch(receiving.getIoThread(),
+					() -> route(receiving, body, answer)), (failing, failure) -> refuseBody(failing, answer));
+	}
+
+	// The rest of the body is read up to a bound, so that the caller can see the answer.
+	private static void refuseBody(HttpServerExchange exchange, CallerAnswer answer) {
+		exchange.setPersistent(false);
+		exchange.dispatch(exchange.getIoThread(),
+				() -> answer.refuse(Refusal.notRun(Refusal.Reason.BODY_TOO_LARGE, 0), "the body is too large"));
+	}
+
+	private void route(HttpServerExchange exchange, byte[] body, CallerAnswer answer) {
+		String path = exchange.getRequestPath();
+		RequestEntry.Caller caller = callerOf(exchange);
+		if (path.startsWith("/v1/")) {
+			versioned(exchange, path, caller, body, answer);
+			return;
+		}
+		int first = path.indexOf('/', 1);
+		int second = (first > 0) ? path.indexOf('/', first + 1) : -1;
+		if (first < 0) {
+			notFound(answer, path);
+			return;
+		}
+		String name = path.substring(1, (second > 0) ? second : path.length());
+		String rest = (second > 0) ? path.substring(second) : "/";
+		String query = exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString();
+		this.entry.plain(caller, name, rest + query, new PlainCall(exchange.getRequestMethod().toString(),
+				passedHeaders(exchange.getRequestHeaders()), body, header(exchange, IDEMPOTENCY_KEY)), answer);
+	}
+
+	private void versioned(HttpServerExchange exchange, String path, RequestEntry.Caller caller, byte[] body,
+			CallerAnswer answer) {
+		String method = exchange.getRequestMethod().toString();
+		if (MODEL_PATHS.contains(path) && method.equals("POST")) {
+			this.entry.model(caller, path, body, answer);
+			return;
+		}
+		if (path.equals("/v1/models") && method.equals("GET")) {
+			answer.whole(200, Map.of("content-type", "application/json"), Json.toBytes(this.entry.models(caller)));
+			return;
+		}
+		notFound(answer, path);
+	}
+
+	private void notFound(CallerAnswer answer, String path) {
+		this.entry.refuse(answer, Refusal.notRun(Refusal.Reason.ROUTE_UNKNOWN, 0), "no route at " + path);
+	}
+
+	private static RequestEntry.Caller callerOf(HttpServerExchange exchange) {
+		String authorization = header(exchange, Headers.AUTHORIZATION);
+		String key = (authorization != null && authorization.startsWith(BEARER))
+				? authorization.substring(BEARER.length()).strip() : header(exchange, API_KEY);
+		return new RequestEntry.Caller(key, deadlineOf(header(exchange, DEADLINE)));
+	}
+
+	private static long deadlineOf(@Nullable String text) {
+		if (text == null) {
+			return 0;
+		}
+		try {
+			return Math.max(0, Long.parseLong(text.strip()));
+		}
+		catch (NumberFormatException ex) {
+			return 0;
+		}
+	}
+
+	private static String echoedIdentifier(HttpServerExchange exchange) {
+		String asked = header(exchange, REQUEST_IDENTIFIER);
+		boolean usable = asked != null && !asked.isBlank() && asked.length() <= MAXIMUM_IDENTIFIER_CHARACTERS
+				&& asked.chars().allMatch((character) -> character > ' ' && character < 0x7f);
+		return usable ? String.valueOf(asked) : Long.toHexString(ThreadLocalRandom.current().nextLong());
+	}
+
+	private static Map<String, String> passedHeaders(HeaderMap headers) {
+		Map<String, String> passed = new LinkedHashMap<>();
+		for (String name : PASSED_HEADERS) {
+			String value = headers.getFirst(name);
+			if (value != null) {
+				passed.put(name, value);
+			}
+		}
+		return passed;
+	}
+
+	private static @Nullable String header(HttpServerExchange exchange, HttpString name) {
+		return exchange.getRequestHeaders().getFirst(name);
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatchers.java
@@ -0,0 +1,71 @@
+package org.masticshelf.daemon.dispatch;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+import org.masticshelf.kernel.configuration.Configuration;
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.configuration.QualifiedName;
+
+/**
+ * The dispatchers of all pools.
+ * <p>
+ * Invariant: a pool has one dispatcher for as long as this daemon runs. Safe for use by
+ * several threads.
+ */
+public final class PoolDispatchers {
+
+	private final Function<Pool, PoolDispatcher> factory;
+
+	private final Map<QualifiedName, PoolDispatcher> dispatchers = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates dispatchers.
+	 * @param factory creates the dispatcher of a pool
+	 */
+	public PoolDispatchers(Function<Pool, PoolDispatcher> factory) {
+		this.factory = factory;
+	}
+
+	/**
+	 * Returns the dispatcher of a pool.
+	 * @param pool the pool
+	 * @return its dispatcher
+	 */
+	public PoolDispatcher of(Pool pool) {
+		return this.dispatchers.computeIfAbsent(pool.name(), (name) -> this.factory.apply(pool));
+	}
+
+	/**
+	 * Takes over a changed configuration.
+	 * @param configuration the configuration
+	 */
+	public void update(Configuration configuration) {
+		configuration.tables().pools().forEach((pool) -> of(pool).update(pool));
+	}
+
+	/**
+	 * Marks endpoints as leaving and all others as staying.
+	 * @param leaving identifiers of the endpoints that get no new work
+	 */
+	public void leaving(Set<String> leaving) {
+		this.dispatchers.values().forEach((dispatcher) -> dispatcher.leaving(leaving));
+	}
+
+	/**
+	 * Returns all dispatchers.
+	 * @return a live view
+	 */
+	public Collection<PoolDispatcher> all() {
+		return this.dispatchers.values();
+	}
+
+	/** Dispatches at all pools what can be dispatched and refuses what is too late. */
+	public void pump() {
+		this.dispatchers.values().forEach(PoolDispatcher::pump);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/operator/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' listener for probes and metrics.
+ */
+@NullMarked
+package org.masticshelf.daemon.operator;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
@@ -274,7 +274,7 @@
 			}
 			return;
 		}
-		goOn(this.assembly.finished(true, usage.generatedTokens(), isTimeLeft()), used);
+		goOn(this.assembly.finished(true, this.resumeAfter + usage.generatedTokens(), isTimeLeft()), used);
 	}
 
 	private boolean isTimeLeft() {
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/RequestEntry.java
@@ -0,0 +1,225 @@
+package org.masticshelf.daemon.request;
+
+import java.io.UncheckedIOException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.control.claim.ClaimRegistry;
+import org.masticshelf.control.configuration.ConfigurationSource;
+import org.masticshelf.daemon.dispatch.PoolDispatchers;
+import org.masticshelf.kernel.access.AccessDecision;
+import org.masticshelf.kernel.access.AccessPolicy;
+import org.masticshelf.kernel.configuration.Configuration;
+import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.OrganisationKey;
+import org.masticshelf.kernel.configuration.Route;
+import org.masticshelf.kernel.refusal.Refusal;
+import org.masticshelf.transport.json.Json;
+import org.masticshelf.transport.log.EventLog;
+
+/**
+ * Where callers' requests enter: checks access and form and hands them on.
+ * <p>
+ * Invariant: each request handed in is answered or refused once. Safe for use by several
+ * threads.
+ */
+public final class RequestEntry {
+
+	private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
+
+	private static final long MILLISECONDS_PER_SECOND = 1_000L;
+
+	private static final long DRAIN_RETRY_MILLISECONDS = 1_000;
+
+	private final ConfigurationSource configuration;
+
+	private final RequestServices services;
+
+	private final PoolDispatchers dispatchers;
+
+	private final ClaimRegistry claims;
+
+	private final String incarnation;
+
+	private final AtomicLong sequence = new AtomicLong();
+
+	private volatile boolean draining;
+
+	/**
+	 * Creates an entry.
+	 * @param configuration the configuration in force
+	 * @param services what requests need from the daemon
+	 * @param dispatchers the queues before the pools
+	 * @param claims the claims of non-idempotent requests
+	 * @param incarnation the incarnation of this daemon, for identities of requests
+	 */
+	public RequestEntry(ConfigurationSource configuration, RequestServices services, PoolDispatchers dispatchers,
+			ClaimRegistry claims, String incarnation) {
+		this.configuration = configuration;
+		this.services = services;
+		this.dispatchers = dispatchers;
+		this.claims = claims;
+		this.incarnation = incarnation;
+	}
+
+	/** Refuses all requests from now on. */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Takes a call to a model.
+	 * @param caller what came with the call
+	 * @param path the path of the call
+	 * @param body the body
+	 * @param answer the way back
+	 */
+	public void model(Caller caller, String path, byte[] body, CallerAnswer answer) {
+		ObjectNode tree = toObject(body);
+		if (tree == null) {
+			refuse(answer, Refusal.notRun(Refusal.Reason.MALFORMED_REQUEST, 0), "the body is not a JSON object");
+			return;
+		}
+		AccessDecision.Granted granted = access(caller, tree.path("model").asText(""), answer);
+		if (granted == null) {
+			return;
+		}
+		Loadable loadable = granted.route().loadable();
+		if (loadable == null) {
+			refuse(answer, Refusal.notRun(Refusal.Reason.ROUTE_UNKNOWN, 0), "the route takes no calls to models");
+			return;
+		}
+		try {
+			ModelCall call = ModelCall.of(loadable, tree);
+			RequestDetails details = details(caller, granted, path);
+			new ModelWork(details, call, answer, this.services, this.dispatchers.of(granted.pool())).submit();
+		}
+		catch (MalformedRequestException ex) {
+			refuse(answer, Refusal.notRun(Refusal.Reason.MALFORMED_REQUEST, 0), String.valueOf(ex.getMessage()));
+		}
+	}
+
+	/**
+	 * Takes a call to a plain service.
+	 * @param caller what came with the call
+	 * @param name the route, as {@code workshop/name}
+	 * @param path the rest of the path with its query, beginning with a slash
+	 * @param call the call
+	 * @param answer the way back
+	 */
+	public void plain(Caller caller, String name, String path, PlainCall call, CallerAnswer answer) {
+		AccessDecision.Granted granted = access(caller, name, answer);
+		if (granted == null) {
+			return;
+		}
+		if (granted.route().kind() != Route.Kind.PLAIN) {
+			refuse(answer, Refusal.notRun(Refusal.Reason.ROUTE_UNKNOWN, 0), "the route takes no plain calls");
+			return;
+		}
+		new PlainRequest(details(caller, granted, path), call, answer, this.services, this.claims,
+				this.dispatchers.of(granted.pool()))
+			.submit();
+	}
+
+	/**
+	 * Lists what a key may use, in the form of OpenAI's list of models.
+	 * @param caller what came with the call
+	 * @return the list
+	 */
+	public ObjectNode models(Caller caller) {
+		ObjectNode list = Json.mapper().createObjectNode().put("object", "list");
+		var data = list.putArray("data");
+		AccessPolicy.INSTANCE.visibleRoutes(this.configuration.current(), digest(caller), epochSeconds())
+			.stream()
+			.filter((route) -> route.kind() == Route.Kind.MODEL)
+			.forEach((route) -> data.addObject()
+				.put("id", route.name().toString())
+				.put("object", "model")
+				.put("owned_by", route.name().workshop()));
+		return list;
+	}
+
+	private AccessDecision.@Nullable Granted access(Caller caller, String name, CallerAnswer answer) {
+		if (this.draining) {
+			refuse(answer, Refusal.notRun(Refusal.Reason.DRAINING, DRAIN_RETRY_MILLISECONDS), "this daemon stops");
+			return null;
+		}
+		AccessDecision decision = AccessPolicy.INSTANCE.decide(this.configuration.current(),
+				new AccessPolicy.Claim(digest(caller), name), this.configuration.freshness().permitsKeys(),
+				epochSeconds());
+		return switch (decision) {
+			case AccessDecision.Granted granted -> granted;
+			case AccessDecision.Denied denied -> {
+				EventLog.info(denied.toEvent());
+				refuse(answer, Refusal.notRun(denied.reason(), 0), "no access to '" + name + "'");
+				yield null;
+			}
+		};
+	}
+
+	private RequestDetails details(Caller caller, AccessDecision.Granted granted, String path) {
+		Route route = granted.route();
+		long asked = (caller.deadlineMilliseconds() > 0) ? caller.deadlineMilliseconds()
+				: route.defaultDeadlineMilliseconds();
+		long allowed = Math.min(asked, route.maximumDeadlineMilliseconds());
+		long deadline = this.services.clock().nanoseconds() + allowed * NANOSECONDS_PER_MILLISECOND;
+		return new RequestDetails(this.incarnation + "-" + this.sequence.incrementAndGet(), route, granted.pool(),
+				granted.organisation(), (granted.organisation() != null) ? digest(caller) : null, path, deadline);
+	}
+
+	private static @Nullable String digest(Caller caller) {
+		return (caller.key() != null) ? OrganisationKey.digestOf(caller.key()) : null;
+	}
+
+	private static long epochSeconds() {
+		return System.currentTimeMillis() / MILLISECONDS_PER_SECOND;
+	}
+
+	private static @Nullable ObjectNode toObject(byte[] body) {
+		try {
+			JsonNode tree = Json.toTree(body);
+			return (tree instanceof ObjectNode object) ? object : null;
+		}
+		catch (UncheckedIOException ex) {
+			return null;
+		}
+	}
+
+	/**
+	 * Refuses a request that could not be taken.
+	 * @param answer the way back
+	 * @param refusal the refusal
+	 * @param message what a person should know
+	 */
+	public void refuse(CallerAnswer answer, Refusal refusal, String message) {
+		EventLog.info(refusal.toEvent());
+		answer.refuse(refusal, message);
+	}
+
+	/**
+	 * Returns the configuration that requests are checked against.
+	 * @return the configuration in force
+	 */
+	public Configuration configuration() {
+		return this.configuration.current();
+	}
+
+	/**
+	 * What came with a call. Immutable.
+	 *
+	 * @param key the key, or {@code null} without one
+	 * @param deadlineMilliseconds the deadline that the caller asks for, 0 for none
+	 */
+	public record Caller(@Nullable String key, long deadlineMilliseconds) {
+
+		@Override
+		public String toString() {
+			return "Caller[" + ((this.key != null) ? "with key" : "without key") + "]";
+		}
+
+	}
+
+}
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -94,7 +94,7 @@
 		this.timer = opened.getIoThread()
 			.executeAfter(() -> fail("timeout after " + this.call.timeout()), this.call.timeout().toMillis(),
 					TimeUnit.MILLISECONDS);
-		opened.getCloseSetter().set((closed) -> fail("connection closed by the other side"));
+		opened.getCloseSetter().set((closed) -> closedByOtherSide(opened));
 		this.point = Point.IN_REQUEST;
 		opened.sendRequest(toRequest(), new ClientCallback<>() {
 			@Override
@@ -109,6 +109,12 @@
 		});
 	}
 
+	// The connection also closes itself at the end of an answer that is its last, just
+	// before the read that sees this end returns.
+	private void closedByOtherSide(ClientConnection closed) {
+		closed.getIoThread().execute(() -> fail("connection closed by the other side"));
+	}
+
 	private ClientRequest toRequest() {
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
 			.setPath(this.call.path());
--- a/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -47,6 +47,17 @@
 		}
 	}
 
+	@Test
+	void takesWholeAnswerOfClosingConnection() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+			Thread.startVirtualThread(() -> Fault.answer(listener,
+					"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\nfull"));
+			HttpCall call = HttpCall.postJson("127.0.0.1:" + listener.getLocalPort(), "/x", new byte[10]);
+			HttpAnswer answer = this.client.exchange(call).get(BOUND_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(new String(answer.body(), StandardCharsets.US_ASCII)).isEqualTo("full");
+		}
+	}
+
 	@Test
 	void reportsUnknownOperation() throws Exception {
 		try (JsonServer server = JsonServer.start("127.0.0.1", 0, 1)) {
@@ -99,6 +110,10 @@
 		}
 
 		void serve(ServerSocket listener) {
+			answer(listener, this.answer);
+		}
+
+		static void answer(ServerSocket listener, String answer) {
 			try (Socket socket = listener.accept()) {
 				InputStream input = socket.getInputStream();
 				StringBuilder seen = new StringBuilder();
@@ -106,7 +121,7 @@
 					seen.append((char) input.read());
 				}
 				input.readNBytes(10);
-				socket.getOutputStream().write(this.answer.getBytes(StandardCharsets.US_ASCII));
+				socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
 				socket.getOutputStream().flush();
 			}
 			catch (IOException ex) {
