--- a/control/src/main/java/org/masticshelf/control/configuration/ConfigurationReader.java
+++ b/control/src/main/java/org/masticshelf/control/configuration/ConfigurationReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
@@ -45,29 +46,27 @@
 
 	/**
 	 * Reads the newest configuration.
-	 * @param known returns a page that is known already by its digest, or {@code null}
+	 * @param known what need not be read again
 	 * @return the configuration; the future fails with a {@link KeyValueFailure} if the
 	 * service is unavailable or holds nothing consistent
 	 */
-	CompletableFuture<StoredConfiguration> read(Function<String, @Nullable Page> known) {
+	CompletableFuture<StoredConfiguration> read(Known known) {
 		return read(known, 1);
 	}
 
-	private CompletableFuture<StoredConfiguration> read(Function<String, @Nullable Page> known, int attempt) {
+	private CompletableFuture<StoredConfiguration> read(Known known, int attempt) {
 		return readHead().thenCompose((entry) -> {
 			if (entry.modifyRevision() == 0) {
 				Pages none = Pages.collect(List.of());
 				return CompletableFuture.completedFuture(new StoredConfiguration(Head.INITIAL, 0, none));
 			}
-			return this.store.get(ConfigurationKeys.MANIFEST)
-				.thenCompose((manifest) -> readPages(entry, manifest, known))
+			return readManifest(entry.head(), known).thenCompose((manifest) -> readPages(entry, manifest, known))
 				.thenCompose((found) -> (found != null) ? CompletableFuture.completedFuture(found)
 						: readAgain(entry, known, attempt));
 		});
 	}
 
-	private CompletableFuture<StoredConfiguration> readAgain(HeadEntry entry, Function<String, @Nullable Page> known,
-			int attempt) {
+	private CompletableFuture<StoredConfiguration> readAgain(HeadEntry entry, Known known, int attempt) {
 		if (attempt >= MAXIMUM_ATTEMPTS) {
 			return CompletableFuture.failedFuture(
 					new KeyValueFailure("revision " + entry.head().revision() + " does not match its pages", false));
@@ -75,15 +74,25 @@
 		return read(known, attempt + 1);
 	}
 
-	private CompletableFuture<@Nullable StoredConfiguration> readPages(HeadEntry entry,
-			KeyValueStore.Entry manifestEntry, Function<String, @Nullable Page> known) {
-		Manifest manifest = parseManifest(entry.head(), manifestEntry);
+	private CompletableFuture<@Nullable Manifest> readManifest(Head head, Known known) {
+		SortedMap<String, String> changed = head.changed();
+		if (changed != null) {
+			Manifest expected = known.manifest().with(changed);
+			if (expected.digest().equals(head.manifest())) {
+				return CompletableFuture.completedFuture(expected);
+			}
+		}
+		return this.store.get(ConfigurationKeys.MANIFEST).thenApply((entry) -> parseManifest(head, entry));
+	}
+
+	private CompletableFuture<@Nullable StoredConfiguration> readPages(HeadEntry entry, @Nullable Manifest manifest,
+			Known known) {
 		if (manifest == null) {
 			return CompletableFuture.completedFuture(null);
 		}
 		List<CompletableFuture<@Nullable Page>> reads = new ArrayList<>();
 		for (Map.Entry<String, String> named : manifest.pages().entrySet()) {
-			reads.add(readPage(named.getKey(), named.getValue(), known));
+			reads.add(readPage(named.getKey(), named.getValue(), known.page()));
 		}
 		return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
 			.thenApply((done) -> collect(entry, reads));
@@ -103,14 +112,8 @@
 		}
 	}
 
-	/**
-	 * Reads one page.
-	 * @param name the name of the page
-	 * @param digest the digest that it has to have
-	 * @param known returns a page that is known already by its digest, or {@code null}
-	 * @return the page or {@code null} if the service holds none that matches
-	 */
-	CompletableFuture<@Nullable Page> readPage(String name, String digest, Function<String, @Nullable Page> known) {
+	private CompletableFuture<@Nullable Page> readPage(String name, String digest,
+			Function<String, @Nullable Page> known) {
 		Page page = known.apply(digest);
 		if (page != null && page.name().equals(name)) {
 			return CompletableFuture.completedFuture(page);
@@ -152,6 +155,19 @@
 		return new StoredConfiguration(entry.head(), entry.modifyRevision(), Pages.collect(pages));
 	}
 
+	/**
+	 * What a reader knows already.
+	 *
+	 * @param manifest the manifest of the revision in force
+	 * @param page returns a page by its digest, or {@code null} if it is not known
+	 */
+	record Known(Manifest manifest, Function<String, @Nullable Page> page) {
+
+		/** A reader that knows nothing. */
+		static final Known NOTHING = new Known(Manifest.EMPTY, (digest) -> null);
+
+	}
+
 	/**
 	 * A head and when it was written.
 	 *
--- a/control/src/main/java/org/masticshelf/control/configuration/ConfigurationWriter.java
+++ b/control/src/main/java/org/masticshelf/control/configuration/ConfigurationWriter.java
@@ -81,7 +81,7 @@
 	 * service is unavailable
 	 */
 	public CompletableFuture<StoredConfiguration> read() {
-		return this.reader.read((digest) -> null);
+		return this.reader.read(ConfigurationReader.Known.NOTHING);
 	}
 
 	/**
