--- /dev/null
+++ b/bench/src/main/java/org/masticshelf/bench/demo/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The callers' side of the demo.
+ */
+@NullMarked
+package org.masticshelf.bench.demo;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/masticshelf/daemon/request/Grants.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/Grants.java
@@ -38,6 +38,12 @@
 	/** A charge that is settled once. */
 	interface Charge {
 
+		/**
+		 * Returns whether the request may still be dispatched under this charge.
+		 * @return {@code false} once the lent tokens have run out
+		 */
+		boolean isValid();
+
 		/**
 		 * Settles the charge by what was used.
 		 * @param usedTokens tokens of the prompt and generated tokens
@@ -59,8 +65,7 @@
 
 		@Override
 		public Charge charge(QualifiedName organisation, long tokens) {
-			return (usedTokens) -> {
-			};
+			return FreeCharge.INSTANCE;
 		}
 
 		@Override
@@ -70,4 +75,21 @@
 
 	}
 
+	/** The charge of a request that is open to all. */
+	enum FreeCharge implements Charge {
+
+		/** The only instance. */
+		INSTANCE;
+
+		@Override
+		public boolean isValid() {
+			return true;
+		}
+
+		@Override
+		public void settle(long usedTokens) {
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/masticshelf/daemon/request/Holders.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/Holders.java
@@ -26,10 +26,18 @@
 	long wakeNanoseconds(Loadable loadable);
 
 	/**
-	 * Notes that a loadable was used.
+	 * Notes that a request to a loadable was sent.
 	 * @param loadable the model or adapter
+	 * @param endpoint the identifier of the endpoint
+	 */
+	void began(Loadable loadable, String endpoint);
+
+	/**
+	 * Notes that a request to a loadable has ended.
+	 * @param loadable the model or adapter
+	 * @param endpoint the identifier of the endpoint
 	 */
-	void used(Loadable loadable);
+	void ended(Loadable loadable, String endpoint);
 
 	/**
 	 * Notes that an endpoint answered that it does not hold a loadable.
--- a/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
@@ -175,15 +175,22 @@
 	@Override
 	public void run(Pool.Endpoint endpoint, Slot slot) {
 		Attempt attempt = new Attempt(endpoint, slot);
+		boolean runnable;
+		boolean again;
 		synchronized (this) {
-			if (this.ended) {
-				slot.cancelled();
-				settle(0);
-				return;
+			runnable = !this.ended && this.charge != null && this.charge.isValid();
+			again = !this.ended && !runnable;
+			this.running = runnable ? attempt : null;
+		}
+		if (!runnable) {
+			slot.cancelled();
+			settle(0);
+			if (again) {
+				this.dispatcher.resubmit(this);
 			}
-			this.running = attempt;
+			return;
 		}
-		this.services.holders().used(this.call.loadable());
+		this.services.holders().began(this.call.loadable(), endpoint.identifier());
 		long left = Math.max(1_000_000L, deadline() - this.services.clock().nanoseconds());
 		Engine.Generation generation = new Engine.Generation(requestIdentifier(), this.call.loadable().engineName(),
 				this.details.path(), this.call.toEngineBody(), this.call.stream(), 0, Duration.ofNanos(left),
@@ -222,6 +229,7 @@
 		}
 		if (attempt != null) {
 			attempt.cancel();
+			this.services.holders().ended(this.call.loadable(), attempt.endpoint.identifier());
 			settle(this.call.promptTokens() + this.assembly.tokens());
 		}
 	}
@@ -255,11 +263,14 @@
 		return this.running == attempt;
 	}
 
-	private synchronized boolean takeCurrent(Attempt attempt) {
-		if (this.running != attempt) {
-			return false;
+	private boolean takeCurrent(Attempt attempt) {
+		synchronized (this) {
+			if (this.running != attempt) {
+				return false;
+			}
+			this.running = null;
 		}
-		this.running = null;
+		this.services.holders().ended(this.call.loadable(), attempt.endpoint.identifier());
 		return true;
 	}
 
--- a/daemon/src/main/java/org/masticshelf/daemon/request/RequestEntry.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/RequestEntry.java
@@ -14,6 +14,7 @@
 import org.masticshelf.kernel.access.AccessPolicy;
 import org.masticshelf.kernel.configuration.Configuration;
 import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.Organisation;
 import org.masticshelf.kernel.configuration.OrganisationKey;
 import org.masticshelf.kernel.configuration.Route;
 import org.masticshelf.kernel.refusal.Refusal;
@@ -94,6 +95,11 @@
 		}
 		try {
 			ModelCall call = ModelCall.of(loadable, tree);
+			if (isAboveBurst(granted, call)) {
+				refuse(answer, Refusal.notRun(Refusal.Reason.COST_ABOVE_BURST, 0),
+						"the request needs more tokens than the organisation's burst");
+				return;
+			}
 			RequestDetails details = details(caller, granted, path);
 			new ModelWork(details, call, answer, this.services, this.dispatchers.of(granted.pool())).submit();
 		}
@@ -102,6 +108,11 @@
 		}
 	}
 
+	private static boolean isAboveBurst(AccessDecision.Granted granted, ModelCall call) {
+		Organisation organisation = granted.organisation();
+		return organisation != null && call.costTokens() > organisation.burstTokens();
+	}
+
 	/**
 	 * Takes a call to a plain service.
 	 * @param caller what came with the call
--- a/daemon/src/test/java/org/masticshelf/daemon/caller/EntryFixture.java
+++ b/daemon/src/test/java/org/masticshelf/daemon/caller/EntryFixture.java
@@ -205,7 +205,11 @@
 		}
 
 		@Override
-		public void used(Loadable loadable) {
+		public void began(Loadable loadable, String endpoint) {
+		}
+
+		@Override
+		public void ended(Loadable loadable, String endpoint) {
 		}
 
 		@Override
--- a/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
@@ -143,6 +143,9 @@
 		/** The deadline passed. */
 		DEADLINE_EXCEEDED(504),
 
+		/** The request needs more tokens than the organisation's burst. */
+		COST_ABOVE_BURST(413),
+
 		/** The organisation has used up its rate and burst. */
 		RATE_EXCEEDED(429),
 
