--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
@@ -2,9 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -27,6 +30,9 @@
 	/** The most bytes that a value may have in UTF-8. */
 	public static final int VALUE_LIMIT_BYTES = 1_048_576;
 
+	/** The most changes that are kept for watches; older ones are forgotten. */
+	public static final int HISTORY_LIMIT = 10_000;
+
 	private static final long FIRST_REVISION = 1;
 
 	private static final long FIRST_LEASE = 1_000;
@@ -35,7 +41,7 @@
 
 	private final Map<Long, Lease> leases;
 
-	private final List<Change> history;
+	private final Deque<Change> history;
 
 	private long revision;
 
@@ -49,7 +55,7 @@
 	public KeyValueState() {
 		this.entries = new TreeMap<>();
 		this.leases = new HashMap<>();
-		this.history = new ArrayList<>();
+		this.history = new ArrayDeque<>();
 		this.revision = FIRST_REVISION;
 		this.nextLease = FIRST_LEASE;
 	}
@@ -57,7 +63,7 @@
 	private KeyValueState(KeyValueState original) {
 		this.entries = new TreeMap<>(original.entries);
 		this.leases = new HashMap<>(original.leases);
-		this.history = new ArrayList<>(original.history);
+		this.history = new ArrayDeque<>(original.history);
 		this.revision = original.revision;
 		this.compactedRevision = original.compactedRevision;
 		this.nextLease = original.nextLease;
@@ -210,8 +216,9 @@
 	 */
 	public List<Change> changesSince(String prefix, long fromRevision) {
 		List<Change> found = new ArrayList<>();
-		for (int index = this.history.size() - 1; index >= 0; index--) {
-			Change change = this.history.get(index);
+		Iterator<Change> latestFirst = this.history.descendingIterator();
+		while (latestFirst.hasNext()) {
+			Change change = latestFirst.next();
 			if (change.revision() < fromRevision) {
 				break;
 			}
@@ -280,6 +287,9 @@
 		if (!changed.isEmpty()) {
 			this.revision = next;
 			this.history.add(new Change(List.copyOf(changed), next));
+			if (this.history.size() > HISTORY_LIMIT) {
+				this.compactedRevision = this.history.removeFirst().revision();
+			}
 		}
 	}
 
--- /dev/null
+++ b/standins/src/test/java/org/masticshelf/standins/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the stand-ins' command line.
+ */
+@NullMarked
+package org.masticshelf.standins;
+
+import org.jspecify.annotations.NullMarked;
