--- /dev/null
+++ b/bench/src/main/java/org/masticshelf/bench/replay/DaemonModel.java
@@ -0,0 +1,254 @@
+package org.masticshelf.bench.replay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.port.ExchangeFailure;
+import org.masticshelf.kernel.queue.Admission;
+import org.masticshelf.kernel.queue.FairQueue;
+import org.masticshelf.kernel.queue.Forecast;
+import org.masticshelf.kernel.queue.QueueBounds;
+import org.masticshelf.kernel.queue.Readiness;
+import org.masticshelf.kernel.queue.Waiting;
+import org.masticshelf.kernel.refusal.Refusal;
+import org.masticshelf.kernel.retry.FailedAttempt;
+import org.masticshelf.kernel.retry.RetryBudget;
+import org.masticshelf.kernel.retry.RetryDecision;
+import org.masticshelf.kernel.retry.RetryPolicy;
+import org.masticshelf.kernel.routing.EndpointBoard;
+import org.masticshelf.kernel.routing.PrefixHints;
+import org.masticshelf.kernel.routing.RouteDecision;
+import org.masticshelf.kernel.routing.Router;
+import org.masticshelf.kernel.routing.Selection;
+
+/**
+ * One daemon as far as its decisions go: queue, routing and retries.
+ * <p>
+ * Used by one thread.
+ */
+final class DaemonModel {
+
+	private static final long REPORT_NANOSECONDS = 500_000_000L;
+
+	private static final long PUMP_NANOSECONDS = 50_000_000L;
+
+	private final int number;
+
+	private final Fleet fleet;
+
+	private final GrantKeeper grants;
+
+	private final Ledger ledger;
+
+	private final PlacementDriver placement;
+
+	private final FairQueue<Flight> queue = new FairQueue<>(QueueBounds.DEFAULT);
+
+	private final EndpointBoard board = new EndpointBoard();
+
+	private final Router router;
+
+	private final RetryBudget budget = new RetryBudget();
+
+	private final RetryPolicy retries;
+
+	private final Map<Flight, Progress> open = new HashMap<>();
+
+	DaemonModel(int number, Fleet fleet, GrantKeeper grants, Ledger ledger, PlacementDriver placement) {
+		this.number = number;
+		this.fleet = fleet;
+		this.grants = grants;
+		this.ledger = ledger;
+		this.placement = placement;
+		this.board.update(fleet.pool().endpoints());
+		this.router = new Router(Fleet.domainOf(number), (domain) -> fleet.deployment().domainDistanceNanoseconds(),
+				new PrefixHints(), new Random(number));
+		this.retries = new RetryPolicy(this.budget, new Random(number));
+	}
+
+	void start(long end) {
+		this.fleet.time().every(REPORT_NANOSECONDS, end, this::askForReports);
+		this.fleet.time().every(PUMP_NANOSECONDS, end, this::pump);
+	}
+
+	private void askForReports() {
+		for (FleetEndpoint endpoint : this.fleet.endpoints()) {
+			String identifier = endpoint.endpoint().identifier();
+			EndpointBoard.ReportMark mark = this.board.mark(identifier, now());
+			long distance = this.fleet.distance(this.number, endpoint.endpoint());
+			this.fleet.time().after(distance, () -> {
+				if (endpoint.isLive()) {
+					int running = endpoint.runningCount();
+					int waiting = endpoint.waitingCount();
+					this.fleet.time().after(distance, () -> this.board.reported(identifier, running, waiting, mark));
+				}
+			});
+		}
+	}
+
+	void arrive(Flight flight) {
+		this.budget.requested();
+		this.open.put(flight, new Progress());
+		this.fleet.time().at(flight.deadline(), () -> refuse(flight, Refusal.Reason.DEADLINE_EXCEEDED));
+		offer(flight, forecast(flight));
+		pump();
+	}
+
+	private Forecast forecast(Flight flight) {
+		long grant = this.grants.nanosecondsUntilCovered(flight, now());
+		long wake = this.fleet.holders(flight.loadable.toModel()).isEmpty()
+				? this.placement.wakeNanoseconds(flight.loadable) : 0;
+		return (grant > wake) ? Forecast.ofGrant(grant, 0) : Forecast.ofWake(wake, 0);
+	}
+
+	private void offer(Flight flight, Forecast forecast) {
+		Waiting.Candidate<Flight> candidate = new Waiting.Candidate<>(flight, flight.organisation, 1,
+				flight.loadable.toString(), flight.request.costTokens(), flight.deadline());
+		switch (this.queue.offer(candidate, forecast, now())) {
+			case Admission.Refused<Flight> refused -> refuse(flight, refused.refusal().reason());
+			case Admission.Queued<Flight> queued -> {
+				Waiting<Flight> displaced = queued.displaced();
+				if (displaced != null) {
+					refuse(displaced.item(), Refusal.Reason.DISPLACED);
+				}
+			}
+		}
+	}
+
+	void pump() {
+		this.queue.expire(now()).forEach((waiting) -> refuse(waiting.item(), Refusal.Reason.DEADLINE_EXCEEDED));
+		Waiting<Flight> next = this.queue.poll(now(), (waiting) -> readiness(waiting.item()));
+		while (next != null) {
+			if (route(next.item()) instanceof RouteDecision.Chosen chosen) {
+				dispatch(next.item(), chosen.endpoint().identifier());
+			}
+			else {
+				this.queue.restore(next);
+				return;
+			}
+			next = this.queue.poll(now(), (waiting) -> readiness(waiting.item()));
+		}
+	}
+
+	private Readiness readiness(Flight flight) {
+		if (this.fleet.holders(flight.loadable).isEmpty()) {
+			return Readiness.COLD;
+		}
+		if (!this.grants.covers(flight, now())) {
+			return Readiness.NO_GRANT;
+		}
+		return (route(flight) instanceof RouteDecision.Chosen) ? Readiness.READY : Readiness.FULL;
+	}
+
+	private RouteDecision route(Flight flight) {
+		Progress progress = progress(flight);
+		Set<String> excluded = (progress != null) ? progress.excluded : Set.of();
+		Selection selection = Selection.among(this.fleet.holders(flight.loadable)).without(excluded);
+		return this.router.choose(this.board, selection, now());
+	}
+
+	private void dispatch(Flight flight, String identifier) {
+		FleetEndpoint endpoint = this.fleet.endpoint(identifier);
+		long distance = this.fleet.distance(this.number, endpoint.endpoint());
+		long sent = now();
+		this.grants.charge(flight, sent);
+		this.board.started(identifier);
+		long[] started = { sent };
+		this.fleet.time().after(distance, () -> endpoint.take(flight, () -> {
+			started[0] = now();
+			Progress progress = progress(flight);
+			if (progress != null) {
+				progress.started = true;
+			}
+			this.ledger.started(flight);
+		}, (failure) -> this.fleet.time().after(distance, () -> {
+			if (failure != null) {
+				failed(flight, identifier, failure);
+			}
+			else {
+				succeeded(flight, identifier, started[0] - sent);
+			}
+			pump();
+		})));
+	}
+
+	private void succeeded(Flight flight, String identifier, long latency) {
+		this.board.succeeded(identifier, latency, now());
+		this.budget.succeeded();
+		this.grants.settle(flight, flight.request.usedTokens(), now());
+		if (this.open.remove(flight) != null) {
+			this.fleet.time().after(Deployment.CLIENT_DISTANCE_NANOSECONDS, () -> this.ledger.answered(flight));
+		}
+	}
+
+	private void failed(Flight flight, String identifier, ExchangeFailure.Point point) {
+		if (point == ExchangeFailure.Point.REFUSED_BY_ENDPOINT) {
+			this.board.cancelled(identifier);
+		}
+		else {
+			this.board.failed(identifier, now());
+			this.budget.failed();
+		}
+		this.grants.settle(flight, point.provesNotRun() ? 0 : flight.request.costTokens(), now());
+		Progress progress = progress(flight);
+		if (progress == null) {
+			return;
+		}
+		FailedAttempt attempt = (progress.failure != null) ? progress.failure.then(identifier, point, 0)
+				: FailedAttempt.first(identifier, point, true, flight.deadline());
+		progress.failure = attempt;
+		switch (this.retries.decide(attempt, now())) {
+			case RetryDecision.GiveUp giveUp -> refuse(flight, giveUp.refusal().reason());
+			case RetryDecision.Retry retry -> {
+				progress.excluded = retry.excluded();
+				this.fleet.time().after(retry.delayNanoseconds(), () -> retry(flight));
+			}
+		}
+	}
+
+	private void retry(Flight flight) {
+		if (this.open.containsKey(flight)) {
+			offer(flight, Forecast.NOW);
+			pump();
+		}
+	}
+
+	private void refuse(Flight flight, Refusal.Reason reason) {
+		Progress progress = this.open.remove(flight);
+		if (progress != null) {
+			this.ledger.refused(flight, reason.code(), progress.started);
+		}
+	}
+
+	private @Nullable Progress progress(Flight flight) {
+		return this.open.get(flight);
+	}
+
+	private long now() {
+		return this.fleet.time().now();
+	}
+
+	/**
+	 * Passes on the requests that wait and are covered by their grant.
+	 * @param consumer takes each of them
+	 */
+	void demands(Consumer<Waiting<Flight>> consumer) {
+		this.queue.waiting().stream().filter((waiting) -> this.grants.covers(waiting.item(), now())).forEach(consumer);
+	}
+
+	private static final class Progress {
+
+		private Set<String> excluded = Set.of();
+
+		private @Nullable FailedAttempt failure;
+
+		private boolean started;
+
+	}
+
+}
