--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/LoadReports.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/LoadReports.java
@@ -1,8 +1,5 @@
 package org.masticshelf.daemon.dispatch;
 
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-
 import org.masticshelf.kernel.configuration.Pool;
 import org.masticshelf.kernel.configuration.Route;
 import org.masticshelf.kernel.port.Engine;
@@ -26,8 +23,6 @@
 
 	private final MonotonicClock clock;
 
-	private final Map<String, Long> used = new ConcurrentHashMap<>();
-
 	/**
 	 * Creates reports.
 	 * @param dispatchers is told the reports
@@ -40,25 +35,12 @@
 		this.clock = clock;
 	}
 
-	/**
-	 * Notes that a request was sent to an endpoint.
-	 * @param endpoint the identifier of the endpoint
-	 */
-	public void used(String endpoint) {
-		this.used.put(endpoint, this.clock.nanoseconds());
-	}
-
 	/** Asks for the reports of the endpoints used lately. */
 	public void refresh() {
 		long now = this.clock.nanoseconds();
-		this.used.values().removeIf((at) -> now - at > RECENT_NANOSECONDS);
 		for (PoolDispatcher dispatcher : this.dispatchers.all()) {
-			Pool pool = dispatcher.pool();
-			if (pool.kind() == Route.Kind.MODEL) {
-				pool.endpoints()
-					.stream()
-					.filter((endpoint) -> this.used.containsKey(endpoint.identifier()))
-					.forEach((endpoint) -> read(dispatcher, endpoint));
+			if (dispatcher.pool().kind() == Route.Kind.MODEL) {
+				dispatcher.usedSince(now - RECENT_NANOSECONDS).forEach((endpoint) -> read(dispatcher, endpoint));
 			}
 		}
 	}
--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
@@ -62,6 +62,8 @@
 
 	private final Map<String, Waiting<Work>> waiting = new HashMap<>();
 
+	private final Map<String, Long> lastUsed = new HashMap<>();
+
 	private volatile Pool pool;
 
 	/**
@@ -252,6 +254,7 @@
 			}
 			this.waiting.remove(work.requestIdentifier());
 			this.board.started(chosen.endpoint().identifier());
+			this.lastUsed.put(chosen.endpoint().identifier(), now);
 			noteAffinity(work, chosen, now);
 			return new Dispatch(work, chosen);
 		}
@@ -300,6 +303,25 @@
 		}
 	}
 
+	/**
+	 * Returns the endpoints that requests were sent to lately.
+	 * @param since the monotonic reading in nanoseconds from which on a request counts
+	 * @return the endpoints
+	 */
+	public List<Pool.Endpoint> usedSince(long since) {
+		this.lock.lock();
+		try {
+			this.lastUsed.values().removeIf((at) -> at - since < 0);
+			return this.pool.endpoints()
+				.stream()
+				.filter((endpoint) -> this.lastUsed.containsKey(endpoint.identifier()))
+				.toList();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Takes over a load report.
 	 * @param endpoint the identifier of the endpoint
--- /dev/null
+++ b/daemon/src/main/java/org/masticshelf/daemon/operator/OperatorOperations.java
@@ -0,0 +1,145 @@
+package org.masticshelf.daemon.operator;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.masticshelf.control.configuration.ConfigurationRepository;
+import org.masticshelf.control.grant.GrantClient;
+import org.masticshelf.control.membership.Members;
+import org.masticshelf.daemon.dispatch.PoolDispatcher;
+import org.masticshelf.daemon.dispatch.PoolDispatchers;
+import org.masticshelf.daemon.request.Holders;
+import org.masticshelf.daemon.settings.DaemonSettings;
+import org.masticshelf.kernel.configuration.Configuration;
+import org.masticshelf.kernel.configuration.Loadable;
+import org.masticshelf.kernel.configuration.Organisation;
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.configuration.Route;
+import org.masticshelf.kernel.port.PeerChannel;
+import org.masticshelf.kernel.routing.RouteDecision;
+import org.masticshelf.kernel.routing.Selection;
+import org.masticshelf.transport.json.Json;
+
+/**
+ * Answers the operators' tool: {@code status} and {@code explain}. Safe for use by several
+ * threads.
+ */
+public final class OperatorOperations {
+
+	private final DaemonSettings settings;
+
+	private final Members.Member self;
+
+	private final ConfigurationRepository configuration;
+
+	private final PoolDispatchers dispatchers;
+
+	private final Holders holders;
+
+	private final GrantClient grants;
+
+	private final BooleanSupplier draining;
+
+	/**
+	 * Creates operations.
+	 * @param settings the settings of this daemon
+	 * @param self this daemon
+	 * @param configuration the configuration in force
+	 * @param dispatchers the queues before the pools
+	 * @param holders where models and adapters are loaded
+	 * @param grants the organisations' grants
+	 * @param draining whether this daemon is about to stop
+	 */
+	public OperatorOperations(DaemonSettings settings, Members.Member self, ConfigurationRepository configuration,
+			PoolDispatchers dispatchers, Holders holders, GrantClient grants, BooleanSupplier draining) {
+		this.settings = settings;
+		this.self = self;
+		this.configuration = configuration;
+		this.dispatchers = dispatchers;
+		this.holders = holders;
+		this.grants = grants;
+		this.draining = draining;
+	}
+
+	/**
+	 * Begins to answer.
+	 * @param channel the channel to peers and tools
+	 */
+	public void answerOn(PeerChannel channel) {
+		channel.answer("status", (question) -> CompletableFuture.completedFuture(status()));
+		channel.answer("explain", (question) -> CompletableFuture.completedFuture(explain(question)));
+	}
+
+	private JsonNode status() {
+		ObjectNode status = Json.mapper().createObjectNode();
+		status.put("instance", this.self.instance())
+			.put("incarnation", this.self.incarnation())
+			.put("failureDomain", this.self.failureDomain())
+			.put("revision", this.configuration.current().revision())
+			.put("freshness", this.configuration.freshness().name())
+			.put("draining", this.draining.getAsBoolean());
+		this.settings.failureDomains().forEach(status.putArray("failureDomains")::add);
+		return status;
+	}
+
+	private JsonNode explain(JsonNode question) {
+		ObjectNode answer = Json.mapper().createObjectNode();
+		Configuration current = this.configuration.current();
+		Route route = current.route(QualifiedName.of(question.path("route").asText()));
+		if (route == null) {
+			return answer.put("decision", "no such route");
+		}
+		answer.put("daemon", this.self.instance()).put("revision", current.revision());
+		answer.put("route", route.name().toString()).put("pool", route.pool().toString());
+		explainGrant(answer, current, question.path("organisation").asText(""));
+		Pool pool = current.pool(route.pool());
+		if (pool == null) {
+			return answer.put("decision", "no such pool");
+		}
+		explainEndpoint(answer, route, this.dispatchers.of(pool));
+		return answer;
+	}
+
+	private void explainGrant(ObjectNode answer, Configuration current, String name) {
+		if (name.isEmpty()) {
+			return;
+		}
+		Organisation organisation = current.organisation(QualifiedName.of(name));
+		if (organisation == null) {
+			answer.put("organisation", "no such organisation");
+			return;
+		}
+		answer.put("organisation", name)
+			.put("tokensPerSecond", organisation.tokensPerSecond())
+			.put("tokensHeldHere", this.grants.heldTokens(organisation.name()));
+	}
+
+	private void explainEndpoint(ObjectNode answer, Route route, PoolDispatcher dispatcher) {
+		Loadable loadable = route.loadable();
+		Selection selection = (loadable != null) ? Selection.among(this.holders.of(loadable))
+				: Selection.among(dispatcher.pool()
+					.endpoints()
+					.stream()
+					.map(Pool.Endpoint::identifier)
+					.collect(Collectors.toSet()));
+		selection.candidates().forEach(answer.putArray("candidates")::add);
+		if (loadable != null && selection.candidates().isEmpty()) {
+			answer.put("decision", "cold")
+				.put("readyInMilliseconds", this.holders.wakeNanoseconds(loadable) / 1_000_000L);
+			return;
+		}
+		switch (dispatcher.explain(selection)) {
+			case RouteDecision.Chosen chosen -> answer.put("decision", "endpoint")
+				.put("endpoint", chosen.endpoint().identifier())
+				.put("reason", chosen.reason().name())
+				.put("load", chosen.effectiveLoad());
+			case RouteDecision.None none -> answer.put("decision", "none").put("reason", none.reason().code());
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/masticshelf/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/settings/DaemonSettings.java
@@ -18,11 +18,11 @@
  * @param instanceList the location of the platform's instance list
  * @param seedPeers control listeners of other daemons that a starting daemon asks first
  * @param limits bounds on what callers may use
- * @param drainMilliseconds how long a planned stop waits for requests to end
+ * @param drain how a planned stop goes
  */
 public record DaemonSettings(String instance, String failureDomain, List<String> failureDomains, String callerListener,
 		String operatorListener, String controlListener, URI keyValueService, URI instanceList, List<String> seedPeers,
-		Limits limits, long drainMilliseconds) {
+		Limits limits, Drain drain) {
 
 	private static final long MAXIMUM_BODY_BYTES = 64L * 1024 * 1024;
 
@@ -38,6 +38,8 @@
 
 	private static final long DEFAULT_DRAIN_MILLISECONDS = 60_000;
 
+	private static final long DEFAULT_DRAIN_NOTICE_MILLISECONDS = 3_000;
+
 	/**
 	 * Reads settings.
 	 * @param reader the opened file
@@ -50,7 +52,7 @@
 				reader.address("operatorListener"), reader.address("controlListener"),
 				reader.location("keyValueService"), reader.location("instanceList"),
 				reader.addresses("seedPeers", false), Limits.read(reader),
-				reader.number("drainMilliseconds", 0, 3_600_000, DEFAULT_DRAIN_MILLISECONDS));
+				Drain.read(reader));
 		if (!settings.failureDomains().isEmpty() && !settings.failureDomains().contains(settings.failureDomain())) {
 			reader.mistake("failureDomain", "'" + settings.failureDomain() + "' is not among failureDomains");
 		}
@@ -80,4 +82,20 @@
 
 	}
 
+	/**
+	 * How a planned stop goes.
+	 *
+	 * @param noticeMilliseconds how long requests are still taken after readiness has
+	 * turned, so that the balancer can notice
+	 * @param milliseconds how long it then waits for requests to end
+	 */
+	public record Drain(long noticeMilliseconds, long milliseconds) {
+
+		private static Drain read(SettingsReader reader) {
+			return new Drain(reader.number("drainNoticeMilliseconds", 0, 600_000, DEFAULT_DRAIN_NOTICE_MILLISECONDS),
+					reader.number("drainMilliseconds", 0, 3_600_000, DEFAULT_DRAIN_MILLISECONDS));
+		}
+
+	}
+
 }
