--- /dev/null
+++ b/bench/src/main/java/org/masticshelf/bench/path/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * What one daemon adds to requests.
+ */
+@NullMarked
+package org.masticshelf.bench.path;
+
+import org.jspecify.annotations.NullMarked;
