--- a/daemon/src/main/java/org/masticshelf/daemon/Masticshelf.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Masticshelf.java
@@ -82,7 +82,10 @@
 			errors.println("masticshelf: a command is missing, see masticshelf --help");
 			return WRONG_USAGE;
 		}
-		return command.equals("check") ? check(check.settings, output, errors) : start(run.settings, errors);
+		if (command.equals("check")) {
+			return check(check.settings, output, errors);
+		}
+		return start(run.settings, errors);
 	}
 
 	private static int check(String file, PrintStream output, PrintStream errors) {
