Placement carried out under the duty, with the daemons' side of it

Cause: decisions have to become intents, orders and confirmed records while holders pause, writes lose their answers and engines ignore fencing numbers. Ruled out: reading again after a lost write (the write could take effect after the read; the old record is written again instead), deleting records (an old comparison with absent would hold again), a waiting time for late orders of former holders (no proof against a pause; they are asked). Before: a planner only.

--- /dev/null
+++ b/control/src/test/java/org/masticshelf/control/placement/FakeEngines.java
@@ -0,0 +1,233 @@
+package org.masticshelf.control.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticshelf.kernel.configuration.Pool;
+import org.masticshelf.kernel.port.Engine;
+import org.masticshelf.kernel.port.ExchangeFailure;
+import org.masticshelf.kernel.time.MonotonicClock;
+
+/**
+ * Engines in process that count memory and replicas by themselves. A load ends when the
+ * clock has moved far enough. Used by one thread.
+ */
+final class FakeEngines {
+
+	private static final long DELAY_MILLISECONDS = 25_000;
+
+	final List<String> violations = new ArrayList<>();
+
+	final Map<String, Integer> loads = new TreeMap<>();
+
+	final Set<String> down = new HashSet<>();
+
+	private final Map<String, Held> engines = new TreeMap<>();
+
+	private final Map<String, Integer> maximumReplicas;
+
+	private final List<Delayed> delayed = new ArrayList<>();
+
+	private final MonotonicClock clock;
+
+	long loadMilliseconds = 1_000;
+
+	FakeEngines(MonotonicClock clock, Map<String, Integer> maximumReplicas) {
+		this.clock = clock;
+		this.maximumReplicas = maximumReplicas;
+	}
+
+	/**
+	 * An engine port as one daemon uses it, whose orders can be held or their answers
+	 * lost.
+	 */
+	Port port() {
+		return new Port();
+	}
+
+	/** Delivers the delayed orders whose time has come. */
+	void deliverDue() {
+		List<Delayed> due = new ArrayList<>(this.delayed);
+		due.removeIf((each) -> each.at() > this.clock.milliseconds());
+		this.delayed.removeAll(due);
+		due.forEach((each) -> each.delivery().run());
+	}
+
+	/** Restarts an engine, which forgets everything but its highest fencing number. */
+	void restart(String endpoint) {
+		Held engine = this.engines.get(endpoint);
+		if (engine != null) {
+			engine.items.clear();
+		}
+	}
+
+	Set<String> held(String endpoint) {
+		Held engine = this.engines.get(endpoint);
+		return (engine != null) ? engine.items.keySet() : Set.of();
+	}
+
+	private Held engine(Pool.Endpoint endpoint) {
+		return this.engines.computeIfAbsent(endpoint.identifier(), (key) -> new Held(endpoint.memoryBytes()));
+	}
+
+	private Engine.OrderAnswer take(Pool.Endpoint endpoint, Engine.Order order) {
+		Held engine = engine(endpoint);
+		if (endpoint.checksFencing() && order.fencing() < engine.highestFencing) {
+			return new Engine.OrderAnswer(false, "old_fencing");
+		}
+		engine.highestFencing = Math.max(engine.highestFencing, order.fencing());
+		if (order.action() == Engine.Action.UNLOAD) {
+			engine.items.keySet().removeIf((name) -> name.equals(order.name()) || name.startsWith(order.name() + ":"));
+			return new Engine.OrderAnswer(true, null);
+		}
+		if (engine.items.containsKey(order.name())) {
+			return new Engine.OrderAnswer(true, null);
+		}
+		int colon = order.name().indexOf(':');
+		if (colon > 0 && !engine.isLoaded(order.name().substring(0, colon))) {
+			return new Engine.OrderAnswer(false, "model_not_loaded");
+		}
+		engine.items.put(order.name(),
+				new Item(order.memoryBytes(), this.clock.milliseconds() + this.loadMilliseconds));
+		this.loads.merge(order.name(), 1, Integer::sum);
+		check(endpoint, engine, order.name());
+		return new Engine.OrderAnswer(true, null);
+	}
+
+	private void check(Pool.Endpoint endpoint, Held engine, String name) {
+		long used = engine.items.values().stream().mapToLong(Item::bytes).sum();
+		if (used > engine.memoryBytes) {
+			this.violations.add("memory of " + endpoint.identifier() + " overcommitted by " + name);
+		}
+		long replicas = this.engines.values().stream().filter((each) -> each.items.containsKey(name)).count();
+		if (replicas > this.maximumReplicas.getOrDefault(name, Integer.MAX_VALUE)) {
+			this.violations.add(replicas + " replicas of " + name);
+		}
+	}
+
+	private Engine.Report report(Pool.Endpoint endpoint) {
+		Held engine = engine(endpoint);
+		List<Engine.Item> items = new ArrayList<>();
+		engine.items.forEach((name, item) -> items.add(new Engine.Item(name,
+				engine.isLoaded(name) ? Engine.ItemState.LOADED : Engine.ItemState.LOADING, item.bytes())));
+		return new Engine.Report(items, List.of(), 0, 0, engine.memoryBytes, engine.highestFencing);
+	}
+
+	private record Delayed(long at, Runnable delivery) {
+	}
+
+	private record Item(long bytes, long readyAt) {
+	}
+
+	private final class Held {
+
+		private final Map<String, Item> items = new LinkedHashMap<>();
+
+		private final long memoryBytes;
+
+		private long highestFencing;
+
+		private Held(long memoryBytes) {
+			this.memoryBytes = memoryBytes;
+		}
+
+		private boolean isLoaded(String name) {
+			Item item = this.items.get(name);
+			return item != null && FakeEngines.this.clock.milliseconds() >= item.readyAt();
+		}
+
+	}
+
+	/** The engines as one daemon reaches them. */
+	final class Port implements Engine {
+
+		private final List<Runnable> heldOrders = new ArrayList<>();
+
+		private final Map<String, Integer> orders = new HashMap<>();
+
+		boolean holdsOrders;
+
+		boolean losesOrders;
+
+		int ordersToDelay;
+
+		int answersToLose;
+
+		@Override
+		public CompletableFuture<OrderAnswer> order(Pool.Endpoint endpoint, Order order) {
+			CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+			this.orders.merge(order.action() + " " + order.name(), 1, Integer::sum);
+			Runnable delivery = () -> deliver(endpoint, order, answer);
+			if (this.losesOrders) {
+				answer.completeExceptionally(new ExchangeFailure(ExchangeFailure.Point.AWAITING_ANSWER, "lost"));
+			}
+			else if (this.ordersToDelay > 0) {
+				this.ordersToDelay--;
+				FakeEngines.this.delayed
+					.add(new Delayed(FakeEngines.this.clock.milliseconds() + DELAY_MILLISECONDS, delivery));
+				answer.completeExceptionally(new ExchangeFailure(ExchangeFailure.Point.AWAITING_ANSWER, "slow"));
+			}
+			else if (this.holdsOrders) {
+				this.heldOrders.add(delivery);
+			}
+			else {
+				delivery.run();
+			}
+			return answer;
+		}
+
+		private void deliver(Pool.Endpoint endpoint, Order order, CompletableFuture<OrderAnswer> answer) {
+			if (FakeEngines.this.down.contains(endpoint.identifier())) {
+				answer.completeExceptionally(new ExchangeFailure(ExchangeFailure.Point.BEFORE_CONNECT, "down"));
+				return;
+			}
+			OrderAnswer taken = take(endpoint, order);
+			if (this.answersToLose > 0) {
+				this.answersToLose--;
+				answer.completeExceptionally(new ExchangeFailure(ExchangeFailure.Point.AWAITING_ANSWER, "cut"));
+				return;
+			}
+			answer.complete(taken);
+		}
+
+		/** Delivers the held orders, as a daemon does that goes on after a pause. */
+		void release() {
+			this.holdsOrders = false;
+			List<Runnable> released = List.copyOf(this.heldOrders);
+			this.heldOrders.clear();
+			released.forEach(Runnable::run);
+		}
+
+		int orders(String action, String name) {
+			return this.orders.getOrDefault(action + " " + name, 0);
+		}
+
+		@Override
+		public CompletableFuture<Report> report(Pool.Endpoint endpoint) {
+			if (FakeEngines.this.down.contains(endpoint.identifier())) {
+				return CompletableFuture
+					.failedFuture(new ExchangeFailure(ExchangeFailure.Point.BEFORE_CONNECT, "down"));
+			}
+			return CompletableFuture.completedFuture(FakeEngines.this.report(endpoint));
+		}
+
+		@Override
+		public Cancellation generate(Pool.Endpoint endpoint, Generation generation, AnswerSink sink) {
+			throw new UnsupportedOperationException("placement does not generate");
+		}
+
+		@Override
+		public void close() {
+			this.heldOrders.clear();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/org/masticshelf/control/placement/PlacementModelTests.java
@@ -0,0 +1,128 @@
+package org.masticshelf.control.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import com.google.common.truth.Truth;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import org.masticshelf.standins.keyvalue.KeyValueCall;
+
+class PlacementModelTests {
+
+	private static final List<String> NAMES = List.of("m", "n", "o", "m:a");
+
+	private static final int STEPS = 80;
+
+	@Property(tries = 300, seed = "11", shrinking = ShrinkingMode.OFF)
+	void exceedsNothingUnderRandomFaultsAndHealsByItself(@ForAll long seed) {
+		Random random = new Random(seed);
+		Fleet fleet = new Fleet(3, random.nextBoolean(), Fleet.model("m", 60, 1), Fleet.model("n", 60, 2),
+				Fleet.model("o", 30, 1));
+		for (String name : new String[] { "a", "b", "c" }) {
+			fleet.daemon(name);
+		}
+		Fleet.Daemon holder = fleet.daemons.get(0);
+		fleet.give(holder);
+		for (int step = 0; step < STEPS; step++) {
+			holder = step(fleet, holder, random);
+			Truth.assertWithMessage("seed %s", seed).that(fleet.engines.violations).isEmpty();
+		}
+		heal(fleet, holder);
+		Truth.assertWithMessage("seed %s", seed).that(fleet.engines.violations).isEmpty();
+		Truth.assertWithMessage("seed %s", seed)
+			.that(fleet.engines.held("e1").contains("m") || fleet.engines.held("e2").contains("m")
+					|| fleet.engines.held("e3").contains("m"))
+			.isTrue();
+	}
+
+	private static Fleet.Daemon step(Fleet fleet, Fleet.Daemon holder, Random random) {
+		String endpoint = "e" + (1 + random.nextInt(3));
+		switch (random.nextInt(14)) {
+			case 0 -> holder.client.faults().loseNextAnswers(KeyValueCall.TRANSACT, 1 + random.nextInt(2));
+			case 1 -> fleet.keyValue.faults().setDown(random.nextBoolean());
+			case 2 -> holder.port.answersToLose = random.nextInt(3);
+			case 3 -> holder.port.ordersToDelay = random.nextInt(2);
+			case 4 -> fleet.engines.restart(endpoint);
+			case 5 -> fleet.engines.down.add(endpoint);
+			case 6 -> fleet.engines.down.remove(endpoint);
+			case 7 -> holder.client.faults().holdRequests();
+			case 8 -> holder.client.faults().release();
+			case 9 -> {
+				return pause(fleet, holder, random);
+			}
+			case 10 -> resume(fleet, holder, random);
+			default -> holder.wants(holder, wanted(random));
+		}
+		run(fleet, holder, 50 + random.nextInt(4_000), random);
+		return holder;
+	}
+
+	private static String[] wanted(Random random) {
+		List<String> wanted = new ArrayList<>(NAMES);
+		wanted.removeIf((name) -> random.nextBoolean());
+		return wanted.toArray(String[]::new);
+	}
+
+	/**
+	 * Moves the duty; the former holder stops as it is, with orders perhaps under way.
+	 */
+	private static Fleet.Daemon pause(Fleet fleet, Fleet.Daemon holder, Random random) {
+		holder.port.holdsOrders = true;
+		holder.wants(holder, wanted(random));
+		holder.keeper.tick();
+		holder.answers = false;
+		Fleet.Daemon next = fleet.daemons.get(random.nextInt(fleet.daemons.size()));
+		if (next == holder) {
+			resume(holder);
+			return holder;
+		}
+		resume(next);
+		fleet.keyValue.faults().setDown(false);
+		fleet.move(next);
+		return next;
+	}
+
+	private static void resume(Fleet fleet, Fleet.Daemon holder, Random random) {
+		Fleet.Daemon other = fleet.daemons.get(random.nextInt(fleet.daemons.size()));
+		if (other != holder) {
+			other.duty.tenure = null;
+			resume(other);
+		}
+	}
+
+	/** Lets a daemon go on: what it was about to send goes out at once. */
+	private static void resume(Fleet.Daemon daemon) {
+		daemon.client.faults().release();
+		daemon.port.release();
+		daemon.answers = true;
+		daemon.keeper.tick();
+	}
+
+	private static void run(Fleet fleet, Fleet.Daemon holder, long milliseconds, Random random) {
+		String[] wanted = wanted(random);
+		for (long passed = 0; passed < milliseconds; passed += 500) {
+			holder.wants(holder, wanted);
+			fleet.run(Math.min(500, milliseconds), holder);
+		}
+	}
+
+	private static void heal(Fleet fleet, Fleet.Daemon holder) {
+		fleet.keyValue.faults().setDown(false);
+		fleet.engines.down.clear();
+		for (Fleet.Daemon daemon : fleet.daemons) {
+			daemon.duty.tenure = (daemon == holder) ? daemon.duty.tenure : null;
+			daemon.port.answersToLose = 0;
+			daemon.port.ordersToDelay = 0;
+			resume(daemon);
+		}
+		for (int half = 0; half < 160; half++) {
+			holder.wants(holder, "m");
+			fleet.run(500, holder);
+		}
+	}
+
+}
--- a/kernel/src/main/java/org/masticshelf/kernel/placement/EndpointRecord.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/EndpointRecord.java
@@ -148,6 +148,16 @@
 			return new Entry(this.loadable, next, this.memoryBytes, this.sender, this.order, this.earlier);
 		}
 
+		/**
+		 * Returns a copy whose next orders another holder gives, when no order of the
+		 * former one can be on its way.
+		 * @param next the holder that gives the orders from now on
+		 * @return the changed entry
+		 */
+		public Entry withSender(Sender next) {
+			return new Entry(this.loadable, this.state, this.memoryBytes, next, this.order, this.earlier);
+		}
+
 		/**
 		 * Returns a copy in the hands of another holder, whose former holder's orders may
 		 * still arrive.
--- a/kernel/src/main/java/org/masticshelf/kernel/placement/EndpointState.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/EndpointState.java
@@ -71,11 +71,30 @@
 		/** In service. */
 		LIVE,
 
+		/** In service, but its record is being written: nothing is decided for it now. */
+		BUSY,
+
 		/** Will be gone soon: takes no loads, and what is idle there is unloaded. */
 		LEAVING,
 
 		/** Does not answer: what is recorded there still counts. */
-		UNREACHABLE
+		UNREACHABLE;
+
+		/**
+		 * Returns whether what is loaded there serves requests.
+		 * @return whether requests are sent there
+		 */
+		boolean isServing() {
+			return this == LIVE || this == BUSY;
+		}
+
+		/**
+		 * Returns whether something can be decided for it now.
+		 * @return whether it takes orders to unload
+		 */
+		boolean isSettled() {
+			return this == LIVE || this == LEAVING;
+		}
 
 	}
 
--- a/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementDecision.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementDecision.java
@@ -38,6 +38,14 @@
 	record Load(Loadable loadable, String endpoint, long memoryBytes, Engine.CacheLevel level,
 			@Nullable QualifiedName organisation, Reason reason) implements PlacementDecision {
 
+		/**
+		 * Returns whether the load takes part in the weight store's rate.
+		 * @return whether it is a model that is not cached at the endpoint
+		 */
+		public boolean isFromStore() {
+			return !this.loadable.isAdapter() && this.level == Engine.CacheLevel.REMOTE;
+		}
+
 		@Override
 		public Event toEvent() {
 			return Event.named("placement.load")
--- a/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementRound.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementRound.java
@@ -154,7 +154,7 @@
 		EndpointChoice choice = chooseFor(demand, loadable, row);
 		if (choice == null) {
 			boolean anywhere = endpointsOf(loadable.pool()).stream()
-				.anyMatch((endpoint) -> endpoint.presence() == EndpointState.Presence.LIVE);
+				.anyMatch((endpoint) -> endpoint.presence().isServing());
 			await(loadable, anywhere ? Reason.NO_MEMORY : Reason.NO_ENDPOINT);
 			return;
 		}
@@ -268,8 +268,8 @@
 
 	private boolean serves(EndpointState endpoint, Loadable loadable) {
 		EndpointRecord.Entry entry = endpoint.record().entry(loadable);
-		return endpoint.presence() == EndpointState.Presence.LIVE && entry != null
-				&& entry.state() == EndpointRecord.State.LOADED && !isLeaving(endpoint, loadable);
+		return endpoint.presence().isServing() && entry != null && entry.state() == EndpointRecord.State.LOADED
+				&& !isLeaving(endpoint, loadable);
 	}
 
 	private @Nullable EndpointChoice option(EndpointState endpoint, Loadable loadable, PlacementCatalogue.Row row,
@@ -305,8 +305,8 @@
 		for (EndpointState endpoint : endpointsOf(loadable.pool())) {
 			EndpointRecord.Entry entry = endpoint.record().entry(loadable);
 			total += (entry != null) ? 1 : 0;
-			boolean isLive = endpoint.presence() == EndpointState.Presence.LIVE;
-			underWay += (entry != null && isLive && entry.state().isLoading()) ? 1 : 0;
+			boolean serves = endpoint.presence().isServing();
+			underWay += (entry != null && serves && entry.state().isLoading()) ? 1 : 0;
 			serving += serves(endpoint, loadable) ? 1 : 0;
 		}
 		return new ReplicaCount(total, underWay, serving);
--- a/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementSweep.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/placement/PlacementSweep.java
@@ -41,7 +41,7 @@
 			endpoint.record().entries().forEach((entry) -> countStaying(entry, remaining));
 		}
 		for (EndpointState endpoint : endpoints) {
-			if (endpoint.presence() != EndpointState.Presence.UNREACHABLE) {
+			if (endpoint.presence().isSettled()) {
 				endpoint.record().entries().forEach((entry) -> entry(endpoint, entry, remaining));
 			}
 		}
