--- a/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -74,8 +76,9 @@
 
 	/**
 	 * Offers a request. It is refused at once if the queue is full of requests of
-	 * organisations with no more waiting than its own, or if by the estimate it cannot be
-	 * answered before its deadline.
+	 * organisations with no more waiting than its own, if by the estimate it cannot be
+	 * answered before its deadline, or if its organisation's requests already wait long
+	 * enough for tokens of the grant.
 	 * @param candidate the request
 	 * @param forecast what is known outside about its earliest start
 	 * @param now the monotonic reading
@@ -85,10 +88,13 @@
 		long queueing = estimateNanoseconds(candidate);
 		long wait = Math.max(forecast.waitNanoseconds(), queueing);
 		if (wait + forecast.serviceNanoseconds() > candidate.deadline() - now) {
-			return refuse(
-					(queueing > forecast.waitNanoseconds()) ? Refusal.Reason.DEADLINE_UNREACHABLE : forecast.cause(),
+			return refuse((queueing > forecast.waitNanoseconds()) ? Refusal.Reason.DEADLINE_UNREACHABLE : forecast.cause(),
 					wait);
 		}
+		long grantWait = grantWaitNanoseconds(candidate.organisation());
+		if (grantWait > Math.min(this.bounds.maximumGrantWaitNanoseconds(), candidate.deadline() - now)) {
+			return refuse(Refusal.Reason.RATE_EXCEEDED, grantWait);
+		}
 		Waiting<T> displaced = null;
 		if (size() >= this.bounds.maximumWaiting()) {
 			OrganisationQueue<T> largest = largest();
@@ -109,6 +115,11 @@
 				Refusal.notRun(reason, Math.max(milliseconds, MINIMUM_RETRY_AFTER_MILLISECONDS)));
 	}
 
+	private long grantWaitNanoseconds(QualifiedName organisation) {
+		OrganisationQueue<T> own = this.organisations.get(organisation);
+		return (own != null) ? own.grantWaitNanoseconds() : 0;
+	}
+
 	private OrganisationQueue<T> largest() {
 		return this.ring.stream()
 			.map(this::queueOf)
@@ -144,7 +155,7 @@
 	 */
 	public @Nullable Waiting<T> poll(long now, Function<Waiting<T>, Readiness> readiness) {
 		Map<String, Readiness> seen = new HashMap<>();
-		TreeMap<Integer, Waiting<T>> heads = readyHeads(readiness, seen);
+		TreeMap<Integer, Waiting<T>> heads = readyHeads(readiness, seen, now);
 		seen.forEach((lane, state) -> measure(lane, state, now));
 		Turn turn = nextTurn(heads);
 		if (turn == null) {
@@ -152,7 +163,7 @@
 		}
 		Waiting<T> chosen = turn.waiting(heads);
 		heads.forEach((position, head) -> gain(position, turn));
-		queueOf(chosen.organisation()).spend(chosen.costTokens());
+		queueOf(chosen.organisation()).dispatched(chosen.costTokens(), now);
 		this.cursor = (this.cursor + turn.position()) % this.ring.size();
 		rateOf(chosen.lane()).dispatched(chosen.costTokens(), now);
 		remove(chosen);
@@ -160,11 +171,16 @@
 	}
 
 	private TreeMap<Integer, Waiting<T>> readyHeads(Function<Waiting<T>, Readiness> readiness,
-			Map<String, Readiness> seen) {
+			Map<String, Readiness> seen, long now) {
 		TreeMap<Integer, Waiting<T>> heads = new TreeMap<>();
 		for (int position = 0; position < this.ring.size(); position++) {
-			Waiting<T> head = queueAt(position).firstReady(readiness,
-					(lane, state) -> seen.merge(lane, state, FairQueue::moreLimiting));
+			OrganisationQueue<T> queue = queueAt(position);
+			Set<Readiness> limits = EnumSet.noneOf(Readiness.class);
+			Waiting<T> head = queue.firstReady(readiness, (lane, state) -> {
+				limits.add(state);
+				seen.merge(lane, state, FairQueue::moreLimiting);
+			});
+			queue.measureGrant(limits, now);
 			if (head != null) {
 				heads.put(position, head);
 			}
@@ -207,7 +223,7 @@
 
 	private void measure(String lane, Readiness state, long now) {
 		switch (state) {
-			case FULL -> rateOf(lane).full(now);
+			case FULL -> rateOf(lane).limited(now);
 			case COLD, NO_GRANT -> rateOf(lane).interrupted();
 			case READY -> {
 			}
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
@@ -1,5 +1,6 @@
 package org.masticshelf.kernel.queue;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -25,8 +26,12 @@
 
 	private final Map<String, Long> costs = new HashMap<>();
 
+	private final ServiceRate grantRate = new ServiceRate();
+
 	private long deficit;
 
+	private long totalCost;
+
 	private int weight = 1;
 
 	void add(Waiting<T> waiting) {
@@ -34,6 +39,7 @@
 		this.all.put(waiting.sequence(), waiting);
 		this.lanes.computeIfAbsent(waiting.lane(), (lane) -> new TreeMap<>()).put(waiting.sequence(), waiting);
 		this.costs.merge(waiting.lane(), waiting.costTokens(), Long::sum);
+		this.totalCost += waiting.costTokens();
 	}
 
 	boolean remove(Waiting<T> waiting) {
@@ -46,6 +52,7 @@
 		}
 		lane.remove(waiting.sequence());
 		this.costs.merge(waiting.lane(), -waiting.costTokens(), Long::sum);
+		this.totalCost -= waiting.costTokens();
 		if (lane.isEmpty()) {
 			this.lanes.remove(waiting.lane());
 			this.costs.remove(waiting.lane());
@@ -90,6 +97,38 @@
 		this.deficit += rounds * quantumTokens * this.weight;
 	}
 
+	/**
+	 * Measures how fast the grant lets requests go.
+	 * @param limits what was seen to limit the lanes
+	 * @param now the monotonic reading in nanoseconds
+	 */
+	void measureGrant(Collection<Readiness> limits, long now) {
+		if (limits.contains(Readiness.NO_GRANT)) {
+			this.grantRate.limited(now);
+		}
+		else if (!limits.contains(Readiness.READY)) {
+			this.grantRate.reset();
+		}
+	}
+
+	/**
+	 * Notes that one of the requests was dispatched.
+	 * @param costTokens its cost in tokens
+	 * @param now the monotonic reading in nanoseconds
+	 */
+	void dispatched(long costTokens, long now) {
+		spend(costTokens);
+		this.grantRate.dispatched(costTokens, now);
+	}
+
+	/**
+	 * Estimates how long the waiting requests take to get their tokens.
+	 * @return nanoseconds, 0 unless the grant limits them
+	 */
+	long grantWaitNanoseconds() {
+		return this.grantRate.nanosecondsFor(this.totalCost);
+	}
+
 	void spend(long costTokens) {
 		this.deficit -= costTokens;
 	}
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/QueueBounds.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/QueueBounds.java
@@ -7,8 +7,12 @@
  *
  * @param maximumWaiting the most requests that wait at once
  * @param quantumTokens the tokens that an organisation of weight 1 gains per round
+ * @param maximumGrantWaitNanoseconds how long a request may have to wait behind others of
+ * its organisation for tokens of the grant
  */
-public record QueueBounds(int maximumWaiting, long quantumTokens) {
+public record QueueBounds(int maximumWaiting, long quantumTokens, long maximumGrantWaitNanoseconds) {
+
+	private static final long GRANT_WAIT_NANOSECONDS = 5_000_000_000L;
 
 	/** The bounds of a daemon on a small instance. */
 	public static final QueueBounds DEFAULT = new QueueBounds(2_000, 500);
@@ -17,9 +21,18 @@
 	 * Creates bounds.
 	 */
 	public QueueBounds {
-		if (maximumWaiting < 1 || quantumTokens < 1) {
+		if (maximumWaiting < 1 || quantumTokens < 1 || maximumGrantWaitNanoseconds < 0) {
 			throw new IllegalArgumentException("bounds of a queue must be positive");
 		}
 	}
 
+	/**
+	 * Creates bounds with the usual wait for tokens of the grant.
+	 * @param maximumWaiting the most requests that wait at once
+	 * @param quantumTokens the tokens that an organisation of weight 1 gains per round
+	 */
+	public QueueBounds(int maximumWaiting, long quantumTokens) {
+		this(maximumWaiting, quantumTokens, GRANT_WAIT_NANOSECONDS);
+	}
+
 }
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/ServiceRate.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/ServiceRate.java
@@ -1,8 +1,8 @@
 package org.masticshelf.kernel.queue;
 
 /**
- * The measured service rate of one lane, counted only while the lane was limited by full
- * endpoints.
+ * A measured rate of dispatches, counted only while one thing limits them: full endpoints
+ * for a lane, tokens of the grant for an organisation.
  * <p>
  * Not safe for use by several threads; guarded by the lock of the queue's shard.
  */
@@ -23,10 +23,10 @@
 	private double tokensPerSecond;
 
 	/**
-	 * Notes that endpoints were full, so that dispatches show the capacity.
+	 * Notes that what is measured limits the dispatches.
 	 * @param now the monotonic reading in nanoseconds
 	 */
-	void full(long now) {
+	void limited(long now) {
 		if (!this.measuring) {
 			this.measuring = true;
 			this.since = now;
@@ -34,11 +34,17 @@
 		}
 	}
 
-	/** Notes that something other than full endpoints limits the lane. */
+	/** Notes that something else limits the dispatches. */
 	void interrupted() {
 		this.measuring = false;
 	}
 
+	/** Forgets the rate, because it may be another when it limits the next time. */
+	void reset() {
+		this.measuring = false;
+		this.tokensPerSecond = 0;
+	}
+
 	/**
 	 * Notes a dispatch.
 	 * @param cost the cost in tokens
--- a/kernel/src/test/java/org/masticshelf/kernel/queue/FairQueueTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/queue/FairQueueTests.java
@@ -199,6 +199,24 @@
 		}
 	}
 
+	@Test
+	void refusesOrganisationWhoseRequestsWaitLongForItsGrant() {
+		for (int index = 0; index < 10; index++) {
+			offer(index, LARGE, "a", 100);
+		}
+		serveByGrant(LARGE, 2);
+		Truth.assertThat(reason(offer(10, LARGE, "a", 100))).isEqualTo(Refusal.Reason.RATE_EXCEEDED);
+		Truth.assertThat(offer(11, SMALL, "a", 100)).isInstanceOf(Admission.Queued.class);
+	}
+
+	private void serveByGrant(QualifiedName limited, int seconds) {
+		for (int second = 0; second < seconds; second++) {
+			this.queue.poll(-(seconds - second) * SECOND, (waiting) -> waiting.organisation().equals(limited)
+					? Readiness.NO_GRANT : Readiness.READY);
+			this.queue.poll(-(seconds - second - 1) * SECOND, (waiting) -> Readiness.READY);
+		}
+	}
+
 	@Test
 	void expiresInOrderOfDeadlines() {
 		this.queue.offer(new Waiting.Candidate<>(1, LARGE, 1, "a", 1, 30), Forecast.NOW, 0);
