--- a/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/refusal/Refusal.java
@@ -143,6 +143,9 @@
 		/** The deadline passed. */
 		DEADLINE_EXCEEDED(504),
 
+		/** The request needs more tokens than the organisation's burst. */
+		COST_ABOVE_BURST(413),
+
 		/** The organisation has used up its rate and burst. */
 		RATE_EXCEEDED(429),
 
@@ -182,12 +185,12 @@
 		/** An earlier attempt with the idempotency key has no known outcome. */
 		OUTCOME_UNKNOWN(409),
 
-		/** The request was answered earlier with more than is kept. */
-		OUTCOME_NOT_KEPT(409),
-
 		/** The caller closed its connection. */
 		CALLER_GONE(499),
 
+		/** The request was answered earlier with more than is kept. */
+		OUTCOME_NOT_KEPT(409),
+
 		/** This daemon is about to stop. */
 		DRAINING(503),
 
