Judge waits for the grant by their age too, and count refusals two ways

Cause: with four daemons taking tokens from one bucket, a daemon that got none had no measured rate and let requests wait for 45 s. The queue now also counts how long the first request without tokens has waited.

--- a/bench/src/main/java/org/masticshelf/bench/replay/Flight.java
+++ b/bench/src/main/java/org/masticshelf/bench/replay/Flight.java
@@ -22,6 +22,8 @@
 
 	final boolean insideRate;
 
+	final boolean organisationInsideRate;
+
 	/**
 	 * Creates a flight.
 	 * @param request the request
@@ -30,15 +32,18 @@
 	 * @param arrived the reading at which the caller sent it
 	 * @param cold whether nothing that serves it was loaded then
 	 * @param insideRate whether an ideal bucket over the whole fleet had tokens for it
+	 * @param organisationInsideRate whether all that the organisation sent so far was
+	 * within its rate and burst
 	 */
 	Flight(TraceEvent.Request request, QualifiedName organisation, Loadable loadable, long arrived, boolean cold,
-			boolean insideRate) {
+			boolean insideRate, boolean organisationInsideRate) {
 		this.request = request;
 		this.organisation = organisation;
 		this.loadable = loadable;
 		this.arrived = arrived;
 		this.cold = cold;
 		this.insideRate = insideRate;
+		this.organisationInsideRate = organisationInsideRate;
 	}
 
 	long deadline() {
--- a/bench/src/main/java/org/masticshelf/bench/replay/Ledger.java
+++ b/bench/src/main/java/org/masticshelf/bench/replay/Ledger.java
@@ -41,6 +41,8 @@
 
 	private int wrongfulRefusals;
 
+	private int refusalsOfModerate;
+
 	private int outcomesAfterDeadline;
 
 	private double tokensAboveGrant;
@@ -107,6 +109,9 @@
 		if (flight.insideRate) {
 			this.wrongfulRefusals++;
 		}
+		if (flight.organisationInsideRate) {
+			this.refusalsOfModerate++;
+		}
 		if (flight.cold && !hasStarted) {
 			coldStart(flight, flight.request.deadlineMilliseconds());
 		}
@@ -137,8 +142,8 @@
 		Histogram small = histogram(this.smallColdStarts);
 		return new Measures(system, this.arrived, this.arrived - this.outcomes.size(), this.outcomesAfterDeadline,
 				this.coldStarts.size(), Measures.Percentiles.of(all), Measures.Percentiles.of(small),
-				fleet.idleAcceleratorHours(), worst, shares, this.wrongfulRefusals, this.tokensAboveGrant,
-				fleet.store().mostRemoteLoads(), Map.copyOf(this.refusals));
+				fleet.idleAcceleratorHours(), worst, shares, this.wrongfulRefusals, this.refusalsOfModerate,
+				this.tokensAboveGrant, fleet.store().mostRemoteLoads(), Map.copyOf(this.refusals));
 	}
 
 	private static Histogram histogram(List<Double> milliseconds) {
--- a/bench/src/main/java/org/masticshelf/bench/replay/Measures.java
+++ b/bench/src/main/java/org/masticshelf/bench/replay/Measures.java
@@ -21,14 +21,16 @@
  * that was answered in time
  * @param sharesInTime the shares by organisation
  * @param wrongfulRefusals refused requests that were inside the rate
+ * @param refusalsOfModerate refused requests of organisations that had sent no more than
+ * their rate and burst in all
  * @param tokensAboveGrant the most tokens by which an organisation exceeded its grant
  * @param mostRemoteLoads the most loads from the weight store at once
  * @param refusals the refusals by reason
  */
 public record Measures(String system, int requests, int dropped, int late, int coldRequests, Percentiles coldStart,
 		Percentiles smallColdStart, double idleAcceleratorHours, double worstShareInTime,
-		Map<String, Double> sharesInTime, int wrongfulRefusals, double tokensAboveGrant, int mostRemoteLoads,
-		Map<String, Integer> refusals) {
+		Map<String, Double> sharesInTime, int wrongfulRefusals, int refusalsOfModerate, double tokensAboveGrant,
+		int mostRemoteLoads, Map<String, Integer> refusals) {
 
 	/**
 	 * Percentiles of a time.
--- a/bench/src/main/java/org/masticshelf/bench/replay/Replay.java
+++ b/bench/src/main/java/org/masticshelf/bench/replay/Replay.java
@@ -28,6 +28,8 @@
 
 	private final Map<QualifiedName, TokenBucket> idealGrants = new HashMap<>();
 
+	private final Map<QualifiedName, TokenBucket> sent = new HashMap<>();
+
 	/**
 	 * Prepares a replay.
 	 * @param trace the trace
@@ -38,10 +40,11 @@
 		this.fleet = new Fleet(trace.header(), this.time);
 		this.ledger = new Ledger(trace.header(), this.fleet, this.time);
 		this.system = factory.apply(this.fleet, this.ledger);
-		trace.header()
-			.organisations()
-			.forEach((row) -> this.idealGrants.put(this.fleet.name(row.name()),
-					new TokenBucket(row.tokensPerSecond(), row.burstTokens())));
+		trace.header().organisations().forEach((row) -> {
+			QualifiedName name = this.fleet.name(row.name());
+			this.idealGrants.put(name, new TokenBucket(row.tokensPerSecond(), row.burstTokens()));
+			this.sent.put(name, new TokenBucket(row.tokensPerSecond(), row.burstTokens()));
+		});
 	}
 
 	/**
@@ -72,8 +75,10 @@
 		QualifiedName organisation = this.fleet.name(request.organisation());
 		TokenBucket ideal = this.idealGrants.get(organisation);
 		boolean inside = ideal != null && ideal.tryTake(request.usedTokens(), this.time.now());
+		TokenBucket all = this.sent.get(organisation);
+		boolean allInside = all != null && all.take(request.usedTokens(), this.time.now()) >= 0;
 		boolean cold = this.fleet.holders(loadable).isEmpty();
-		Flight flight = new Flight(request, organisation, loadable, this.time.now(), cold, inside);
+		Flight flight = new Flight(request, organisation, loadable, this.time.now(), cold, inside, allInside);
 		this.ledger.arrived(flight);
 		this.time.after(Deployment.CLIENT_DISTANCE_NANOSECONDS, () -> this.system.arrive(flight));
 	}
--- a/bench/src/main/java/org/masticshelf/bench/replay/ReplayReport.java
+++ b/bench/src/main/java/org/masticshelf/bench/replay/ReplayReport.java
@@ -45,6 +45,7 @@
 		row(target, "idle accelerator hours", Measures::idleAcceleratorHours);
 		row(target, "worst-served organisation, share in time", Measures::worstShareInTime);
 		row(target, "refused although inside the rate", (each) -> each.wrongfulRefusals());
+		row(target, "refused, organisation inside its rate", (each) -> each.refusalsOfModerate());
 		this.measures.forEach((each) -> target.printf("refusals of %s: %s%n", each.system(), each.refusals()));
 		this.measures
 			.forEach((each) -> target.printf("shares in time of %s: %s%n", each.system(), each.sharesInTime()));
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -88,10 +86,11 @@
 		long queueing = estimateNanoseconds(candidate);
 		long wait = Math.max(forecast.waitNanoseconds(), queueing);
 		if (wait + forecast.serviceNanoseconds() > candidate.deadline() - now) {
-			return refuse((queueing > forecast.waitNanoseconds()) ? Refusal.Reason.DEADLINE_UNREACHABLE : forecast.cause(),
+			return refuse(
+					(queueing > forecast.waitNanoseconds()) ? Refusal.Reason.DEADLINE_UNREACHABLE : forecast.cause(),
 					wait);
 		}
-		long grantWait = grantWaitNanoseconds(candidate.organisation());
+		long grantWait = grantWaitNanoseconds(candidate.organisation(), now);
 		if (grantWait > Math.min(this.bounds.maximumGrantWaitNanoseconds(), candidate.deadline() - now)) {
 			return refuse(Refusal.Reason.RATE_EXCEEDED, grantWait);
 		}
@@ -115,9 +114,9 @@
 				Refusal.notRun(reason, Math.max(milliseconds, MINIMUM_RETRY_AFTER_MILLISECONDS)));
 	}
 
-	private long grantWaitNanoseconds(QualifiedName organisation) {
+	private long grantWaitNanoseconds(QualifiedName organisation, long now) {
 		OrganisationQueue<T> own = this.organisations.get(organisation);
-		return (own != null) ? own.grantWaitNanoseconds() : 0;
+		return (own != null) ? own.grantWaitNanoseconds(now) : 0;
 	}
 
 	private OrganisationQueue<T> largest() {
@@ -175,10 +174,10 @@
 		TreeMap<Integer, Waiting<T>> heads = new TreeMap<>();
 		for (int position = 0; position < this.ring.size(); position++) {
 			OrganisationQueue<T> queue = queueAt(position);
-			Set<Readiness> limits = EnumSet.noneOf(Readiness.class);
-			Waiting<T> head = queue.firstReady(readiness, (lane, state) -> {
-				limits.add(state);
-				seen.merge(lane, state, FairQueue::moreLimiting);
+			Map<Waiting<T>, Readiness> limits = new HashMap<>();
+			Waiting<T> head = queue.firstReady(readiness, (first, state) -> {
+				limits.put(first, state);
+				seen.merge(first.lane(), state, FairQueue::moreLimiting);
 			});
 			queue.measureGrant(limits, now);
 			if (head != null) {
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
@@ -1,6 +1,6 @@
 package org.masticshelf.kernel.queue;
 
-import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -32,6 +32,8 @@
 
 	private long totalCost;
 
+	private @Nullable Waiting<T> oldestWithoutGrant;
+
 	private int weight = 1;
 
 	void add(Waiting<T> waiting) {
@@ -63,10 +65,10 @@
 	/**
 	 * Finds the earliest request that is first of its lane and ready.
 	 * @param readiness tells whether a request can be dispatched now
-	 * @param observer told the readiness that was seen for each lane
+	 * @param observer told the readiness that was seen for each first request of a lane
 	 * @return the request or {@code null} if no lane is ready
 	 */
-	@Nullable Waiting<T> firstReady(Function<Waiting<T>, Readiness> readiness, BiConsumer<String, Readiness> observer) {
+	@Nullable Waiting<T> firstReady(Function<Waiting<T>, Readiness> readiness, BiConsumer<Waiting<T>, Readiness> observer) {
 		Waiting<T> best = null;
 		for (NavigableMap<Long, Waiting<T>> lane : this.lanes.values()) {
 			Waiting<T> head = lane.firstEntry().getValue();
@@ -74,7 +76,7 @@
 				continue;
 			}
 			Readiness state = readiness.apply(head);
-			observer.accept(head.lane(), state);
+			observer.accept(head, state);
 			if (state == Readiness.READY) {
 				best = head;
 			}
@@ -99,14 +101,20 @@
 
 	/**
 	 * Measures how fast the grant lets requests go.
-	 * @param limits what was seen to limit the lanes
+	 * @param limits what was seen to limit the first requests of lanes
 	 * @param now the monotonic reading in nanoseconds
 	 */
-	void measureGrant(Collection<Readiness> limits, long now) {
-		if (limits.contains(Readiness.NO_GRANT)) {
+	void measureGrant(Map<Waiting<T>, Readiness> limits, long now) {
+		this.oldestWithoutGrant = limits.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() == Readiness.NO_GRANT)
+			.map(Map.Entry::getKey)
+			.min(Comparator.comparingLong(Waiting::sequence))
+			.orElse(null);
+		if (this.oldestWithoutGrant != null) {
 			this.grantRate.limited(now);
 		}
-		else if (!limits.contains(Readiness.READY)) {
+		else if (!limits.containsValue(Readiness.READY)) {
 			this.grantRate.reset();
 		}
 	}
@@ -122,11 +130,16 @@
 	}
 
 	/**
-	 * Estimates how long the waiting requests take to get their tokens.
+	 * Estimates how long the waiting requests take to get their tokens: by the measured
+	 * rate, and at least as long as the first of them has waited for its own.
+	 * @param now the monotonic reading in nanoseconds
 	 * @return nanoseconds, 0 unless the grant limits them
 	 */
-	long grantWaitNanoseconds() {
-		return this.grantRate.nanosecondsFor(this.totalCost);
+	long grantWaitNanoseconds(long now) {
+		Waiting<T> oldest = this.oldestWithoutGrant;
+		boolean isWaiting = oldest != null && this.all.containsKey(oldest.sequence());
+		long waited = (isWaiting && oldest != null) ? now - oldest.arrived() : 0;
+		return Math.max(waited, this.grantRate.nanosecondsFor(this.totalCost));
 	}
 
 	void spend(long costTokens) {
