--- a/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
@@ -1,5 +1,6 @@
 package org.masticshelf.kernel.queue;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -25,8 +26,14 @@
 
 	private final Map<String, Long> costs = new HashMap<>();
 
+	private final ServiceRate grantRate = new ServiceRate();
+
 	private long deficit;
 
+	private long totalCost;
+
+	private @Nullable Waiting<T> oldestWithoutGrant;
+
 	private int weight = 1;
 
 	void add(Waiting<T> waiting) {
@@ -34,6 +41,7 @@
 		this.all.put(waiting.sequence(), waiting);
 		this.lanes.computeIfAbsent(waiting.lane(), (lane) -> new TreeMap<>()).put(waiting.sequence(), waiting);
 		this.costs.merge(waiting.lane(), waiting.costTokens(), Long::sum);
+		this.totalCost += waiting.costTokens();
 	}
 
 	boolean remove(Waiting<T> waiting) {
@@ -46,6 +54,7 @@
 		}
 		lane.remove(waiting.sequence());
 		this.costs.merge(waiting.lane(), -waiting.costTokens(), Long::sum);
+		this.totalCost -= waiting.costTokens();
 		if (lane.isEmpty()) {
 			this.lanes.remove(waiting.lane());
 			this.costs.remove(waiting.lane());
@@ -56,10 +65,10 @@
 	/**
 	 * Finds the earliest request that is first of its lane and ready.
 	 * @param readiness tells whether a request can be dispatched now
-	 * @param observer told the readiness that was seen for each lane
+	 * @param observer told the readiness that was seen for each first request of a lane
 	 * @return the request or {@code null} if no lane is ready
 	 */
-	@Nullable Waiting<T> firstReady(Function<Waiting<T>, Readiness> readiness, BiConsumer<String, Readiness> observer) {
+	@Nullable Waiting<T> firstReady(Function<Waiting<T>, Readiness> readiness, BiConsumer<Waiting<T>, Readiness> observer) {
 		Waiting<T> best = null;
 		for (NavigableMap<Long, Waiting<T>> lane : this.lanes.values()) {
 			Waiting<T> head = lane.firstEntry().getValue();
@@ -67,7 +76,7 @@
 				continue;
 			}
 			Readiness state = readiness.apply(head);
-			observer.accept(head.lane(), state);
+			observer.accept(head, state);
 			if (state == Readiness.READY) {
 				best = head;
 			}
@@ -90,6 +99,49 @@
 		this.deficit += rounds * quantumTokens * this.weight;
 	}
 
+	/**
+	 * Measures how fast the grant lets requests go.
+	 * @param limits what was seen to limit the first requests of lanes
+	 * @param now the monotonic reading in nanoseconds
+	 */
+	void measureGrant(Map<Waiting<T>, Readiness> limits, long now) {
+		this.oldestWithoutGrant = limits.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() == Readiness.NO_GRANT)
+			.map(Map.Entry::getKey)
+			.min(Comparator.comparingLong(Waiting::sequence))
+			.orElse(null);
+		if (this.oldestWithoutGrant != null) {
+			this.grantRate.limited(now);
+		}
+		else if (!limits.containsValue(Readiness.READY)) {
+			this.grantRate.reset();
+		}
+	}
+
+	/**
+	 * Notes that one of the requests was dispatched.
+	 * @param costTokens its cost in tokens
+	 * @param now the monotonic reading in nanoseconds
+	 */
+	void dispatched(long costTokens, long now) {
+		spend(costTokens);
+		this.grantRate.dispatched(costTokens, now);
+	}
+
+	/**
+	 * Estimates how long the waiting requests take to get their tokens: by the measured
+	 * rate, and at least as long as the first of them has waited for its own.
+	 * @param now the monotonic reading in nanoseconds
+	 * @return nanoseconds, 0 unless the grant limits them
+	 */
+	long grantWaitNanoseconds(long now) {
+		Waiting<T> oldest = this.oldestWithoutGrant;
+		boolean isWaiting = oldest != null && this.all.containsKey(oldest.sequence());
+		long waited = (isWaiting && oldest != null) ? now - oldest.arrived() : 0;
+		return Math.max(waited, this.grantRate.nanosecondsFor(this.totalCost));
+	}
+
 	void spend(long costTokens) {
 		this.deficit -= costTokens;
 	}
