Status fails when the named key-value service does not answer

After: 1, with a row in the table of exit statuses. Ruled out: failing without daemons named, since the accepted revision alone is a fair question.

--- a/ctl/src/main/java/org/masticshelf/ctl/fleet/StatusCommand.java
+++ b/ctl/src/main/java/org/masticshelf/ctl/fleet/StatusCommand.java
@@ -14,7 +14,8 @@
 import org.masticshelf.transport.json.Json;
 
 /**
- * The command {@code status}: which daemons run which revision. Succeeds if all answer.
+ * The command {@code status}: which daemons run which revision. Succeeds if all answer,
+ * and the key-value service too if one is named.
  * <p>
  * Used by one thread.
  */
@@ -31,9 +32,7 @@
 		List<DaemonStatus> statuses = session.daemons().statuses();
 		ObjectNode json = Json.mapper().createObjectNode();
 		List<String> lines = new ArrayList<>();
-		if (session.hasKeyValue()) {
-			addAccepted(session, json, lines);
-		}
+		boolean known = !session.hasKeyValue() || addAccepted(session, json, lines);
 		ArrayNode array = json.putArray("daemons");
 		for (DaemonStatus status : statuses) {
 			ObjectNode each = array.addObject().put("address", status.address());
@@ -46,18 +45,20 @@
 			lines.add(status.toLine());
 		}
 		boolean allAnswered = statuses.stream().allMatch((status) -> status.answer() != null);
-		return new Report(allAnswered, lines, json);
+		return new Report(known && allAnswered, lines, json);
 	}
 
-	private static void addAccepted(Session session, ObjectNode json, List<String> lines) {
+	private static boolean addAccepted(Session session, ObjectNode json, List<String> lines) {
 		try {
 			long revision = session.read().head().revision();
 			json.put("acceptedRevision", revision);
 			lines.add("accepted revision " + revision);
+			return true;
 		}
 		catch (CommandFailure ex) {
 			json.putNull("acceptedRevision");
 			lines.add("accepted revision unknown: " + ex.getMessage());
+			return false;
 		}
 	}
 
--- a/ctl/src/test/java/org/masticshelf/ctl/MasticshelfCtlTests.java
+++ b/ctl/src/test/java/org/masticshelf/ctl/MasticshelfCtlTests.java
@@ -47,6 +47,7 @@
 					"keys issue --organisation a/b --expires-in 3 --key-value etcd://127.0.0.1:9|2|30d",
 					"tables validate no-such-file|1|no such file", "sample --deployment x --output y|2|bengal-east",
 					"tables show --settings no-such-file|2|cannot be read", "explain --route a/b|1|no daemon was named",
+					"status --key-value etcd://127.0.0.1:9|1|accepted revision unknown",
 					"tables show --key-value etcd://127.0.0.1:9|1|no answer" })
 	void exitStatusTellsWhatHappened(String line, int status, String words) {
 		Tool.Run run = Tool.runAlone(line);
