--- a/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
@@ -108,8 +108,8 @@
 		HttpPeerChannel channel = new HttpPeerChannel(this.peerClient, this.control);
 		KeyValueStore store = PortProvider.open(KeyValueStore.class, settings.keyValueService());
 		InstanceList instances = PortProvider.open(InstanceList.class, settings.instanceList());
-		Engine engine = PortProvider.open(Engine.class, URI.create("openai:"));
-		PlainService plainService = PortProvider.open(PlainService.class, URI.create("http:"));
+		Engine engine = PortProvider.open(Engine.class, URI.create("openai://endpoints"));
+		PlainService plainService = PortProvider.open(PlainService.class, URI.create("http://endpoints"));
 		this.plane = new ControlPlane(settings, self, store, instances, channel, this.clock, this.scheduler);
 		GrantKeeper keeper = GrantKeeper.builder()
 			.withClock(this.clock)
