--- a/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
+++ b/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
@@ -34,8 +34,7 @@
 	/** The daemons. */
 	public final List<Daemon> daemons = new ArrayList<>();
 
-	/** The daemons that run no rounds. */
-	public final Set<Daemon> frozen = new HashSet<>();
+	private final Set<Daemon> frozen = new HashSet<>();
 
 	private final int direct;
 
@@ -79,6 +78,24 @@
 		}
 	}
 
+	/**
+	 * Freezes a daemon: it runs no rounds and hears nothing.
+	 * @param daemon the daemon
+	 */
+	public void freeze(Daemon daemon) {
+		this.frozen.add(daemon);
+		daemon.client.faults().holdWatchBatches();
+	}
+
+	/**
+	 * Lets a frozen daemon go on.
+	 * @param daemon the daemon
+	 */
+	public void resume(Daemon daemon) {
+		this.frozen.remove(daemon);
+		daemon.client.faults().releaseWatchBatches();
+	}
+
 	/**
 	 * Kills a daemon.
 	 * @param daemon the daemon
--- a/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
+++ b/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
@@ -57,16 +57,34 @@
 	void hasNoTenureAfterBeingFrozenPastItsLease() {
 		DutyFleet.Daemon old = holder();
 		long fencing = fencing();
-		this.fleet.frozen.add(old);
+		this.fleet.freeze(old);
 		this.fleet.steps(MOVE_BOUND);
 		Truth.assertThat(old.duties.compete(DUTY).tenure()).isNull();
 		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
 		Truth.assertThat(fencing()).isGreaterThan(fencing);
-		this.fleet.frozen.clear();
+		this.fleet.resume(old);
 		this.fleet.steps(4);
 		Truth.assertThat(old.duties.compete(DUTY).tenure()).isNull();
 	}
 
+	@Test
+	void countsLeaseFromWhenRenewalWasSent() {
+		DutyFleet.Daemon old = holder();
+		old.client.faults().holdAnswers();
+		while (old.client.faults().heldCount() == 0) {
+			this.fleet.steps(1);
+		}
+		// The answers to renewals that were sent 3 s and 1 s ago come now, so the lease
+		// ends 5 s from now.
+		this.fleet.steps(5);
+		old.client.faults().release();
+		this.fleet.freeze(old);
+		this.fleet.steps(9);
+		Truth.assertThat(old.duties.compete(DUTY).tenure()).isNotNull();
+		this.fleet.steps(1);
+		Truth.assertThat(old.duties.compete(DUTY).tenure()).isNull();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "4, 4", "64, 6" })
 	void movesAfterDeath(int daemons, int direct) {
@@ -166,8 +184,8 @@
 	private static void take(Step step, DutyFleet fleet) {
 		DutyFleet.Daemon daemon = fleet.daemons.get(step.daemon);
 		switch (step.action) {
-			case FREEZE -> fleet.frozen.add(daemon);
-			case RESUME -> fleet.frozen.remove(daemon);
+			case FREEZE -> fleet.freeze(daemon);
+			case RESUME -> fleet.resume(daemon);
 			case CUT -> daemon.client.faults().setDown(true);
 			case HEAL -> daemon.client.faults().setDown(false);
 			case HOLD_ANSWERS -> daemon.client.faults().holdAnswers();
--- a/standins/src/main/java/org/masticshelf/standins/peer/InMemoryPeers.java
+++ b/standins/src/main/java/org/masticshelf/standins/peer/InMemoryPeers.java
@@ -56,10 +56,12 @@
 	}
 
 	/**
-	 * Counts the bytes of calls from now on, which renders each body once more.
+	 * Counts the bytes of calls from now on or no longer. Counting renders each body once
+	 * more.
+	 * @param value whether to count
 	 */
-	public void countBytes() {
-		this.counting = true;
+	public void countBytes(boolean value) {
+		this.counting = value;
 	}
 
 	/**
