Pages of at most 8 KiB, copies of keys pulled once a second

Ruled out: pages split sixteen ways, whose mean size swings between 2 and 32 KiB with the size of the tables, and sending rows instead of pages, since a page has to be checked by its digest anyway. Before: 32 KiB split by hexadecimal digits, a head with up to 64 changed pages that each poll reads. After: 8 KiB split by binary digits, 16 changed pages, copies of members and duties pulled every second instead of each half second.

--- a/control/src/main/java/org/masticshelf/control/view/PrefixView.java
+++ b/control/src/main/java/org/masticshelf/control/view/PrefixView.java
@@ -39,6 +39,8 @@
 
 	private static final long LIST_MILLISECONDS = 5_000;
 
+	private static final long PULL_MILLISECONDS = 1_000;
+
 	private static final long LIST_BYTES_PER_MILLISECOND = 4;
 
 	private static final long RESTORED_MILLISECONDS = 10_000;
@@ -75,6 +77,8 @@
 
 	private @Nullable Long learntAt;
 
+	private @Nullable Long pulledAt;
+
 	private KeyValueStore.@Nullable Watch watch;
 
 	/**
@@ -145,7 +149,13 @@
 			return this.direct.getAsBoolean() ? listed : CompletableFuture.allOf(listed, pull());
 		}
 		close();
-		return pull();
+		return pullIsDue() ? pull() : CompletableFuture.completedFuture(null);
+	}
+
+	private synchronized boolean pullIsDue() {
+		boolean due = this.pulledAt == null || sinceMilliseconds(this.pulledAt) >= PULL_MILLISECONDS;
+		this.pulledAt = due ? Long.valueOf(this.clock.nanoseconds()) : this.pulledAt;
+		return due;
 	}
 
 	private synchronized boolean isLearntLately() {
--- a/kernel/src/main/java/org/masticshelf/kernel/configuration/Head.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/configuration/Head.java
@@ -28,7 +28,7 @@
 	public static final Head INITIAL = new Head(0, "none", "nobody", "", Manifest.EMPTY.digest(), null);
 
 	/** A difference of more pages is left out of the head. */
-	public static final int MAXIMUM_CHANGED_PAGES = 64;
+	public static final int MAXIMUM_CHANGED_PAGES = 16;
 
 	/**
 	 * Creates a head.
--- a/kernel/src/main/java/org/masticshelf/kernel/configuration/Page.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/configuration/Page.java
@@ -18,7 +18,7 @@
 public final class Page {
 
 	/** A page whose text is longer than this is split, in bytes. */
-	public static final int SPLIT_BYTES = 32 * 1024;
+	public static final int SPLIT_BYTES = 8 * 1024;
 
 	/** A page whose text is longer than this is refused, in bytes. */
 	public static final int MAXIMUM_BYTES = 1_000_000;
@@ -81,7 +81,7 @@
 
 	/**
 	 * Returns the name of the page.
-	 * @return for example {@code routes/sofia/3f}
+	 * @return for example {@code routes/sofia/011}
 	 */
 	public String name() {
 		return this.name;
--- a/kernel/src/main/java/org/masticshelf/kernel/configuration/Pages.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/configuration/Pages.java
@@ -13,14 +13,14 @@
  * Tables cut into pages, so that a change writes and moves only the pages that it
  * touches.
  * <p>
- * Rows are spread over pages by the first hexadecimal digits of the digest of their key,
- * and a page is split by one more digit when it grows past {@link Page#SPLIT_BYTES}. A
- * row therefore never moves because an unrelated row came or went, except when its page
- * is split or joined. Equal tables always give equal pages. Immutable.
+ * Rows are spread over pages by the first binary digits of the digest of their key, and a
+ * page is split by one more digit when it grows past {@link Page#SPLIT_BYTES}. A row
+ * therefore never moves because an unrelated row came or went, except when its page is
+ * split or joined. Equal tables always give equal pages. Immutable.
  */
 public final class Pages {
 
-	private static final int HEXADECIMAL_DIGITS = 64;
+	private static final int BINARY_DIGITS = 256;
 
 	private final SortedMap<String, Page> byName;
 
@@ -70,18 +70,23 @@
 
 	private static void split(String group, String digits, List<Row> rows, SortedMap<String, Page> pages) {
 		Page page = Page.of(group + digits, rows);
-		if (rows.size() == 1 || digits.length() == HEXADECIMAL_DIGITS || page.bytes() <= Page.SPLIT_BYTES) {
+		if (rows.size() == 1 || digits.length() == BINARY_DIGITS || page.bytes() <= Page.SPLIT_BYTES) {
 			pages.put(page.name(), page);
 			return;
 		}
 		Map<String, List<Row>> parts = new TreeMap<>();
 		for (Row row : rows) {
-			String longer = digestOf(row).substring(0, digits.length() + 1);
+			String longer = digits + binaryDigit(digestOf(row), digits.length());
 			parts.computeIfAbsent(longer, (name) -> new ArrayList<>()).add(row);
 		}
 		parts.forEach((longer, part) -> split(group, longer, part, pages));
 	}
 
+	private static int binaryDigit(String digest, int index) {
+		int hexadecimalDigit = Character.digit(digest.charAt(index / 4), 16);
+		return (hexadecimalDigit >> (3 - index % 4)) & 1;
+	}
+
 	private static String digestOf(Row row) {
 		return (row instanceof Row.OfKey) ? row.key() : ConfigurationJson.digest(row.key());
 	}
