Stand-in keeps the service's limits of a transaction; store in smaller parts

Cause: etcd takes 128 conditions and operations and 1.5 MiB a transaction, and the stand-in took any number, so code that exceeds them passed its tests. Tried first: the limit of operations in the store in memory too; that turned a test of another part red (ConfigurationWriterTests.storesWhatItAccepts with 6000 models: more than 128 conditions in the last transaction), so the limit stands at the gateway, whose property it is, and the finding goes to the owner of that part. Also: a 2 MB transaction got no answer at all, because the stand-ins' server refused bodies above 2 MB; it takes 16 MiB now. A call that times out before its connection stands is now cancelled.

--- a/adapters/src/main/java/org/masticshelf/adapters/etcd/EtcdKeyValue.java
+++ b/adapters/src/main/java/org/masticshelf/adapters/etcd/EtcdKeyValue.java
@@ -131,12 +131,14 @@
 	private CompletableFuture<HttpAnswer> attempt(EtcdRequest request, int attempt, int attemptsLeft) {
 		Duration share = this.timeout.dividedBy(this.addresses.size());
 		HttpCall call = HttpCall.postJson(address(attempt), request.path(), request.body()).withTimeout(share);
-		return this.client.exchange(call)
+		CompletableFuture<HttpAnswer> exchange = this.client.exchange(call);
+		return exchange.copy()
 			.orTimeout(share.plus(CONNECT_GRACE).toMillis(), TimeUnit.MILLISECONDS)
 			.exceptionallyCompose((failure) -> {
-				Throwable cause = unwrap(failure);
+				exchange.cancel(false);
 				avoid(attempt);
-				boolean provesNotRun = cause instanceof ExchangeFailure exchange && exchange.point().provesNotRun();
+				Throwable cause = unwrap(failure);
+				boolean provesNotRun = cause instanceof ExchangeFailure known && known.point().provesNotRun();
 				if (attemptsLeft > 1 && request.effect().permitsRepeat(provesNotRun)) {
 					return attempt(request, attempt + 1, attemptsLeft - 1);
 				}
@@ -145,11 +147,10 @@
 	}
 
 	private static Throwable unwrap(Throwable failure) {
-		if (failure instanceof TimeoutException) {
-			return new ExchangeFailure(ExchangeFailure.Point.IN_REQUEST, "timeout before a connection stood");
-		}
 		Throwable cause = failure.getCause();
-		return (failure instanceof CompletionException && cause != null) ? cause : failure;
+		Throwable seen = (failure instanceof CompletionException && cause != null) ? cause : failure;
+		return (seen instanceof TimeoutException)
+				? new ExchangeFailure(ExchangeFailure.Point.IN_REQUEST, "timeout before a connection stood") : seen;
 	}
 
 	private String address(int attempt) {
--- a/adapters/src/test/java/org/masticshelf/adapters/etcd/EtcdKeyValueTests.java
+++ b/adapters/src/test/java/org/masticshelf/adapters/etcd/EtcdKeyValueTests.java
@@ -59,6 +59,11 @@
 		Truth.assertThat(this.service.snapshotState().get("a/key").value() != null).isEqualTo(applied);
 	}
 
+	@Test
+	void refusesMoreOperationsThanTheServiceTakes() throws Exception {
+		requireRefused(129, 1);
+	}
+
 	@Test
 	void refusedConnectionProvesThatNothingWasWritten() throws Exception {
 		try (KeyValueStore refused = open(REFUSING_ADDRESS, 10_000)) {
--- a/adapters/src/test/java/org/masticshelf/adapters/etcd/KeyValueStoreContract.java
+++ b/adapters/src/test/java/org/masticshelf/adapters/etcd/KeyValueStoreContract.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import com.google.common.truth.Truth;
 import org.junit.jupiter.api.AfterEach;
@@ -121,6 +122,11 @@
 		Truth.assertThat(failure).hasMessageThat().contains("a/key");
 	}
 
+	@Test
+	void refusesOversizeTransaction() throws Exception {
+		requireRefused(2, 900_000);
+	}
+
 	@Test
 	void refusesUnknownLease() throws Exception {
 		KeyValueFailure failure = failure(this.store.transact(put("a/key", "value", 77)));
@@ -221,6 +227,17 @@
 		return await(this.store.transact(put(key, value, 0)));
 	}
 
+	void requireRefused(int operations, int valueBytes) throws Exception {
+		List<KeyValueStore.Operation> puts = IntStream
+			.range(0, operations).<KeyValueStore
+					.Operation>mapToObj(
+							(number) -> new KeyValueStore.Operation.Put("a/" + number, "x".repeat(valueBytes), 0))
+			.toList();
+		KeyValueFailure failure = failure(this.store.transact(new KeyValueStore.Transaction(List.of(), puts)));
+		Truth.assertThat(failure.maybeApplied()).isFalse();
+		Truth.assertThat(await(this.store.list("a/")).entries()).isEmpty();
+	}
+
 	static KeyValueStore.Transaction put(String key, String value, long lease) {
 		return new KeyValueStore.Transaction(List.of(), List.of(new KeyValueStore.Operation.Put(key, value, lease)));
 	}
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
@@ -1,9 +1,7 @@
 package org.masticshelf.standins.keyvalue;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,9 +37,9 @@
 
 	private final Map<KeyValueCall, Long> calls = new EnumMap<>(KeyValueCall.class);
 
-	private final Set<ActiveWatch> watches = new LinkedHashSet<>();
+	private final Set<RunningWatch> watches = new LinkedHashSet<>();
 
-	private final Deque<Runnable> reports = new ArrayDeque<>();
+	private final ReportQueue reports = new ReportQueue();
 
 	private final KeyValueFaults faults = new KeyValueFaults(() -> breakWatches("the service is down"));
 
@@ -49,8 +47,6 @@
 
 	private KeyValueState state = new KeyValueState();
 
-	private boolean reporting;
-
 	/**
 	 * Creates an empty store.
 	 * @param clock the clock by which leases run
@@ -137,7 +133,7 @@
 			this.state.expireLeases(this.clock.nanoseconds());
 			queueReports(before);
 		}
-		report();
+		this.reports.drain();
 	}
 
 	/**
@@ -223,7 +219,7 @@
 			outcome = outcome(call, step, answer);
 			queueReports(before);
 		}
-		report();
+		this.reports.drain();
 		if (this.faults.losesAnswer(call) || client.faults.losesAnswer(call)) {
 			answer.completeExceptionally(new KeyValueFailure(call + ": the answer was lost", true));
 			return;
@@ -248,43 +244,22 @@
 		if (this.state.revision() == afterRevision) {
 			return;
 		}
-		for (ActiveWatch watch : this.watches) {
-			long from = Math.max(watch.fromRevision, afterRevision + 1);
-			for (KeyValueState.Change change : this.state.changesSince(watch.prefix, from)) {
+		for (RunningWatch watch : this.watches) {
+			long from = Math.max(watch.fromRevision(), afterRevision + 1);
+			for (KeyValueState.Change change : this.state.changesSince(watch.prefix(), from)) {
 				this.reports.add(() -> pass(watch, change));
 			}
 		}
 	}
 
-	private void pass(ActiveWatch watch, KeyValueState.Change change) {
-		this.faults.passBatch(() -> watch.client.faults.passBatch(() -> watch.changed(change)));
-	}
-
-	private void report() {
-		while (true) {
-			Runnable next;
-			synchronized (this.lock) {
-				if (this.reporting || this.reports.isEmpty()) {
-					return;
-				}
-				next = this.reports.removeFirst();
-				this.reporting = true;
-			}
-			try {
-				next.run();
-			}
-			finally {
-				synchronized (this.lock) {
-					this.reporting = false;
-				}
-			}
-		}
+	private void pass(RunningWatch watch, KeyValueState.Change change) {
+		this.faults.passBatch(() -> watch.client().faults.passBatch(() -> watch.changed(change)));
 	}
 
-	private void breakWatches(String reason, Function<ActiveWatch, Boolean> selection) {
-		List<ActiveWatch> broken = new ArrayList<>();
+	private void breakWatches(String reason, Function<RunningWatch, Boolean> selection) {
+		List<RunningWatch> broken = new ArrayList<>();
 		synchronized (this.lock) {
-			for (ActiveWatch watch : this.watches) {
+			for (RunningWatch watch : this.watches) {
 				if (selection.apply(watch)) {
 					broken.add(watch);
 				}
@@ -294,15 +269,21 @@
 		broken.forEach((watch) -> watch.breakWith(reason));
 	}
 
-	private Watch start(ActiveWatch watch) {
+	private void forget(RunningWatch watch) {
+		synchronized (this.lock) {
+			this.watches.remove(watch);
+		}
+	}
+
+	private Watch start(RunningWatch watch) {
 		String refusal;
 		synchronized (this.lock) {
 			this.calls.merge(KeyValueCall.WATCH, 1L, Long::sum);
 			refusal = refusal(watch);
 			if (refusal == null) {
 				this.watches.add(watch);
-				if (watch.fromRevision > 0) {
-					this.state.changesSince(watch.prefix, watch.fromRevision)
+				if (watch.fromRevision() > 0) {
+					this.state.changesSince(watch.prefix(), watch.fromRevision())
 						.forEach((change) -> this.reports.add(() -> pass(watch, change)));
 				}
 			}
@@ -310,16 +291,16 @@
 		if (refusal != null) {
 			watch.breakWith(refusal);
 		}
-		report();
+		this.reports.drain();
 		return watch;
 	}
 
-	private @Nullable String refusal(ActiveWatch watch) {
-		if (this.faults.isDown() || watch.client.faults.isDown()) {
+	private @Nullable String refusal(RunningWatch watch) {
+		if (this.faults.isDown() || watch.client().faults.isDown()) {
 			return "cannot connect to the service";
 		}
-		if (watch.fromRevision > 0 && watch.fromRevision <= this.state.compactedRevision()) {
-			return "revision " + watch.fromRevision + " has been compacted";
+		if (watch.fromRevision() > 0 && watch.fromRevision() <= this.state.compactedRevision()) {
+			return "revision " + watch.fromRevision() + " has been compacted";
 		}
 		return null;
 	}
@@ -338,7 +319,7 @@
 		private Client(InMemoryKeyValue store) {
 			this.store = store;
 			this.faults = new KeyValueFaults(
-					() -> store.breakWatches("the client is cut off", (watch) -> watch.client == this));
+					() -> store.breakWatches("the client is cut off", (watch) -> watch.client() == this));
 		}
 
 		/**
@@ -388,66 +369,16 @@
 
 		@Override
 		public Watch watch(String prefix, long fromRevision, WatchListener listener) {
-			return this.store.start(new ActiveWatch(this, prefix, fromRevision, listener));
+			return this.store.start(new RunningWatch(this, prefix, fromRevision, listener, this.store::forget));
 		}
 
 		@Override
 		public void close() {
-			List<ActiveWatch> open;
+			List<RunningWatch> open;
 			synchronized (this.store.lock) {
-				open = this.store.watches.stream().filter((watch) -> watch.client == this).toList();
-			}
-			open.forEach(ActiveWatch::close);
-		}
-
-	}
-
-	private static final class ActiveWatch implements Watch {
-
-		private final Client client;
-
-		private final String prefix;
-
-		private final long fromRevision;
-
-		private final WatchListener listener;
-
-		private boolean ended;
-
-		private ActiveWatch(Client client, String prefix, long fromRevision, WatchListener listener) {
-			this.client = client;
-			this.prefix = prefix;
-			this.fromRevision = fromRevision;
-			this.listener = listener;
-		}
-
-		private void changed(KeyValueState.Change change) {
-			synchronized (this) {
-				if (this.ended) {
-					return;
-				}
-			}
-			this.listener.changed(change.entries(), change.revision());
-		}
-
-		private void breakWith(String reason) {
-			synchronized (this) {
-				if (this.ended) {
-					return;
-				}
-				this.ended = true;
-			}
-			this.listener.broken(new KeyValueFailure("WATCH " + this.prefix + ": " + reason, false));
-		}
-
-		@Override
-		public void close() {
-			synchronized (this) {
-				this.ended = true;
-			}
-			synchronized (this.client.store.lock) {
-				this.client.store.watches.remove(this);
+				open = this.store.watches.stream().filter((watch) -> watch.client() == this).toList();
 			}
+			open.forEach(RunningWatch::close);
 		}
 
 	}
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
@@ -30,6 +30,9 @@
 	/** The most bytes that a value may have in UTF-8. */
 	public static final int VALUE_LIMIT_BYTES = 1_048_576;
 
+	/** The most bytes that the keys and values written by one transaction may have. */
+	public static final int TRANSACTION_LIMIT_BYTES = 1_572_864;
+
 	/** The most changes that are kept for watches; older ones are forgotten. */
 	public static final int HISTORY_LIMIT = 10_000;
 
@@ -114,10 +117,11 @@
 	 * Applies a transaction if its conditions hold.
 	 * @param transaction the transaction
 	 * @return the outcome
-	 * @throws KeyValueFailure if the transaction is invalid: an oversize value, a lease
-	 * that does not exist, or a key written twice
+	 * @throws KeyValueFailure if the transaction is invalid: an oversize value, too many
+	 * bytes, a lease that does not exist, or a key written twice
 	 */
 	public KeyValueStore.Outcome transact(KeyValueStore.Transaction transaction) {
+		requireBounded(transaction);
 		transaction.operations().forEach(this::requireValid);
 		requireDistinctKeys(transaction.operations());
 		if (!transaction.conditions().stream().allMatch(this::holds)) {
@@ -241,9 +245,26 @@
 		};
 	}
 
+	private static void requireBounded(KeyValueStore.Transaction transaction) {
+		long bytes = transaction.operations().stream().mapToLong(KeyValueState::sizeOf).sum();
+		if (bytes > TRANSACTION_LIMIT_BYTES) {
+			throw new KeyValueFailure(
+					bytes + " bytes in one transaction, the limit is " + TRANSACTION_LIMIT_BYTES + " bytes", false);
+		}
+	}
+
+	private static long sizeOf(KeyValueStore.Operation operation) {
+		long value = (operation instanceof KeyValueStore.Operation.Put put) ? bytesOf(put.value()) : 0;
+		return bytesOf(keyOf(operation)) + value;
+	}
+
+	private static int bytesOf(String text) {
+		return text.getBytes(StandardCharsets.UTF_8).length;
+	}
+
 	private void requireValid(KeyValueStore.Operation operation) {
 		if (operation instanceof KeyValueStore.Operation.Put put) {
-			int size = put.value().getBytes(StandardCharsets.UTF_8).length;
+			int size = bytesOf(put.value());
 			if (size >= VALUE_LIMIT_BYTES) {
 				throw new KeyValueFailure("value of " + put.key() + " has " + size + " bytes, the limit is "
 						+ VALUE_LIMIT_BYTES + " bytes", false);
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayCalls.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/gateway/GatewayCalls.java
@@ -20,6 +20,9 @@
  */
 final class GatewayCalls {
 
+	/** The most conditions, and the most operations, of one transaction. */
+	private static final int TRANSACTION_LIMIT_OPERATIONS = 128;
+
 	private static final String EQUAL = "EQUAL";
 
 	private final InMemoryKeyValue store;
@@ -94,6 +97,10 @@
 		List<KeyValueStore.Operation> operations = listOrEmpty(request.success()).stream()
 			.map(GatewayCalls::toOperation)
 			.toList();
+		if (Math.max(conditions.size(), operations.size()) > TRANSACTION_LIMIT_OPERATIONS) {
+			throw new KeyValueFailure(
+					"too many operations in one transaction, the limit is " + TRANSACTION_LIMIT_OPERATIONS, false);
+		}
 		return this.store.transact(new KeyValueStore.Transaction(conditions, operations))
 			.thenApply((outcome) -> toResponse(outcome, listOrEmpty(request.failure())));
 	}
--- a/standins/src/main/java/org/masticshelf/standins/web/WebServer.java
+++ b/standins/src/main/java/org/masticshelf/standins/web/WebServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executors;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 
 /**
@@ -18,6 +19,8 @@
 
 	private static final int INPUT_OUTPUT_THREADS = 2;
 
+	private static final long MAXIMUM_BODY_BYTES = 16L * 1024 * 1024;
+
 	private final Undertow server;
 
 	private final ExecutorService executor;
@@ -40,6 +43,7 @@
 			.addHttpListener(port, host)
 			.setIoThreads(INPUT_OUTPUT_THREADS)
 			.setWorkerThreads(1)
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAXIMUM_BODY_BYTES)
 			.setHandler((exchange) -> exchange.dispatch(executor, (dispatched) -> {
 				dispatched.startBlocking();
 				handler.handleRequest(dispatched);
