--- a/kernel/src/main/java/org/masticshelf/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/event/Event.java
@@ -1,5 +1,7 @@
 package org.masticshelf.kernel.event;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -15,11 +17,11 @@
 
 	private final String name;
 
-	private final Map<String, String> fields;
+	private final @Nullable Field last;
 
-	private Event(String name, Map<String, String> fields) {
+	private Event(String name, @Nullable Field last) {
 		this.name = name;
-		this.fields = fields;
+		this.last = last;
 	}
 
 	/**
@@ -28,19 +30,18 @@
 	 * @return the event
 	 */
 	public static Event named(String name) {
-		return new Event(name, Map.of());
+		return new Event(name, null);
 	}
 
 	/**
-	 * Returns a copy of this event with one more field.
-	 * @param key the name of the field
+	 * Returns a copy of this event with one more field. It shares the fields of this one,
+	 * so that its cost does not grow with their number.
+	 * @param key the name of the field; a field of the same name is replaced
 	 * @param value the value; {@code null} is rendered as {@code none}
 	 * @return the extended event
 	 */
 	public Event with(String key, @Nullable Object value) {
-		Map<String, String> extended = new LinkedHashMap<>(this.fields);
-		extended.put(key, (value != null) ? value.toString() : "none");
-		return new Event(this.name, extended);
+		return new Event(this.name, new Field(this.last, key, (value != null) ? value.toString() : "none"));
 	}
 
 	/**
@@ -57,7 +58,12 @@
 	 * @return the value or {@code null} if the event has no such field
 	 */
 	public @Nullable String field(String key) {
-		return this.fields.get(key);
+		for (Field field = this.last; field != null; field = field.previous()) {
+			if (field.key().equals(key)) {
+				return field.value();
+			}
+		}
+		return null;
 	}
 
 	/**
@@ -66,10 +72,20 @@
 	 */
 	public String toLine() {
 		StringBuilder line = new StringBuilder("event=").append(this.name);
-		this.fields.forEach((key, value) -> line.append(' ').append(key).append('=').append(quoteIfNeeded(value)));
+		fields().forEach((key, value) -> line.append(' ').append(key).append('=').append(quoteIfNeeded(value)));
 		return line.toString();
 	}
 
+	private Map<String, String> fields() {
+		Deque<Field> ordered = new ArrayDeque<>();
+		for (Field field = this.last; field != null; field = field.previous()) {
+			ordered.push(field);
+		}
+		Map<String, String> fields = new LinkedHashMap<>();
+		ordered.forEach((field) -> fields.put(field.key(), field.value()));
+		return fields;
+	}
+
 	@Override
 	public String toString() {
 		return toLine();
@@ -98,4 +114,14 @@
 		}
 	}
 
+	/**
+	 * A field and those before it.
+	 *
+	 * @param previous the field before, or {@code null} for the first
+	 * @param key the name
+	 * @param value the rendered value without quotes
+	 */
+	private record Field(@Nullable Field previous, String key, String value) {
+	}
+
 }
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
@@ -72,7 +73,7 @@
 		this.cancelled = true;
 		ClientConnection current = this.connection;
 		if (current != null) {
-			current.getIoThread().execute(() -> fail("cancelled"));
+			failLater(current, "cancelled");
 		}
 	}
 
@@ -112,7 +113,16 @@
 	// The connection also closes itself at the end of an answer that is its last, just
 	// before the read that sees this end returns.
 	private void closedByOtherSide(ClientConnection closed) {
-		closed.getIoThread().execute(() -> fail("connection closed by the other side"));
+		failLater(closed, "connection closed by the other side");
+	}
+
+	private void failLater(ClientConnection connection, String reason) {
+		try {
+			connection.getIoThread().execute(() -> fail(reason));
+		}
+		catch (RejectedExecutionException ex) {
+			fail(reason);
+		}
 	}
 
 	private ClientRequest toRequest() {
