--- a/control/src/main/java/org/masticshelf/control/view/PrefixView.java
+++ b/control/src/main/java/org/masticshelf/control/view/PrefixView.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -65,7 +67,7 @@
 
 	private final SortedMap<String, Entry> entries = new TreeMap<>();
 
-	private final Deque<Entry> changes = new ArrayDeque<>();
+	private final Deque<Change> changes = new ArrayDeque<>();
 
 	private long forgottenRevision;
 
@@ -214,35 +216,53 @@
 	private synchronized Answer answer(long known) {
 		boolean lately = isLearntLately();
 		if (known >= this.forgottenRevision && known <= this.revision) {
-			List<Entry> later = this.changes.stream().filter((entry) -> entry.modifyRevision() > known).toList();
+			List<Entry> later = this.changes.stream()
+				.filter((change) -> change.noticedAt() > known)
+				.map(Change::entry)
+				.toList();
 			return new Answer(this.revision, lately, false, later);
 		}
 		return new Answer(this.revision, lately, true, List.copyOf(this.entries.values()));
 	}
 
 	private void replace(List<Entry> whole, long atRevision, boolean lately) {
+		boolean news = false;
 		synchronized (this) {
-			boolean same = this.revision == atRevision && this.entries.size() == whole.size();
 			this.learntAt = lately ? Long.valueOf(this.clock.nanoseconds()) : this.learntAt;
-			if (same || isOvertaken(atRevision)) {
+			if (isOvertaken(atRevision)) {
 				return;
 			}
-			this.entries.clear();
-			whole.forEach((entry) -> this.entries.put(entry.key(), entry));
+			if (this.revision == 0) {
+				this.forgottenRevision = atRevision;
+			}
+			Set<String> gone = new TreeSet<>(this.entries.keySet());
+			for (Entry entry : whole) {
+				gone.remove(entry.key());
+				if (!entry.equals(this.entries.get(entry.key()))) {
+					keep(entry, atRevision + 1);
+					news = true;
+				}
+			}
+			for (String key : gone) {
+				keep(new Entry(key, null, 0, atRevision, 0), atRevision + 1);
+				news = true;
+			}
 			this.bytes = whole.stream().mapToLong(PrefixView::size).sum();
-			this.changes.clear();
-			this.forgottenRevision = atRevision;
 			this.revision = atRevision;
 		}
-		this.listeners.forEach(Runnable::run);
+		if (news) {
+			this.listeners.forEach(Runnable::run);
+		}
 	}
 
 	// A snapshot that was taken before a change which is known already would undo it
 	// until the next one. A service that was restored answers with lower revisions for
-	// good, so that the copy is replaced when the next snapshot is older, too.
+	// good, so that the copy is replaced when the next snapshot is older, too. Peers then
+	// need the whole copy.
 	private boolean isOvertaken(long atRevision) {
 		boolean older = atRevision < this.revision;
 		if (older) {
+			this.forgottenRevision = Math.max(this.forgottenRevision, this.revision);
 			this.revision = atRevision;
 		}
 		return older;
@@ -260,7 +280,7 @@
 				Entry known = this.entries.get(entry.key());
 				if (known == null || known.modifyRevision() < entry.modifyRevision()) {
 					news = true;
-					keep(entry);
+					keep(entry, Math.max(entry.modifyRevision(), this.revision + 1));
 				}
 			}
 			this.revision = Math.max(this.revision, atRevision);
@@ -271,16 +291,16 @@
 		}
 	}
 
-	private void keep(Entry entry) {
+	private void keep(Entry entry, long noticedAt) {
 		if (entry.value() != null) {
 			this.entries.put(entry.key(), entry);
 		}
 		else {
 			this.entries.remove(entry.key());
 		}
-		this.changes.addLast(entry);
+		this.changes.addLast(new Change(entry, noticedAt));
 		if (this.changes.size() > REMEMBERED_CHANGES) {
-			this.forgottenRevision = Math.max(this.forgottenRevision, this.changes.removeFirst().modifyRevision());
+			this.forgottenRevision = Math.max(this.forgottenRevision, this.changes.removeFirst().noticedAt());
 		}
 	}
 
@@ -329,6 +349,16 @@
 
 	}
 
+	/**
+	 * A change of the copy.
+	 *
+	 * @param entry the entry, with a {@code null} value if it was deleted
+	 * @param noticedAt peers whose copy is of an earlier revision may not have it; higher
+	 * than the revision of the entry if a watch had lost it
+	 */
+	private record Change(Entry entry, long noticedAt) {
+	}
+
 	/**
 	 * What a peer answers.
 	 *
