Endpoints that are gone for good, and cases for the tenure check and the race

Cause: a reclaimed endpoint's models counted as loaded for ever, since nothing said that it was gone; a takeover with one dead endpoint held the view back for three failed reports; and two mechanisms could be switched off unnoticed (the tenure check before an order, both comparisons of a write). Ruled out: taking an endpoint to be gone because it is not listed (the list lags) or because it is silent (it may be cut off and serving); both are needed, or its removal from the table. Before: stuck until an operator acted. After: missed by 30 lists in a row and silent empties its record; a takeover waits at most 2 s.

--- a/control/src/main/java/org/masticshelf/control/membership/EndpointWatch.java
+++ b/control/src/main/java/org/masticshelf/control/membership/EndpointWatch.java
@@ -1,6 +1,8 @@
 package org.masticshelf.control.membership;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -18,19 +20,27 @@
  * Which endpoints leave, by the platform's list of instances.
  * <p>
  * Invariant: an endpoint that was listed as leaving stays so until it is listed as live
- * again, also while the list cannot be read or no longer names it. Safe for use by
- * several threads.
+ * again, also while the list cannot be read or no longer names it. An endpoint counts as
+ * unlisted only if it was listed once and then missed in successive lists. Safe for use
+ * by several threads.
  */
 public final class EndpointWatch implements AutoCloseable {
 
 	private static final long READ_MILLISECONDS = 1_000;
 
+	/** How many lists in a row must miss an endpoint that was listed before. */
+	private static final int MISSES_TO_UNLISTED = 30;
+
+	private final Map<String, Integer> misses = new HashMap<>();
+
 	private final InstanceList list;
 
 	private final Consumer<Event> log;
 
 	private volatile Set<String> leaving = Set.of();
 
+	private volatile Set<String> unlisted = Set.of();
+
 	private volatile boolean readable = true;
 
 	private @Nullable ScheduledFuture<?> schedule;
@@ -63,6 +73,15 @@
 		return this.leaving;
 	}
 
+	/**
+	 * Returns the endpoints that were listed once and have been missing since for long
+	 * enough that the lag of the list does not explain it.
+	 * @return their identifiers
+	 */
+	public Set<String> unlisted() {
+		return this.unlisted;
+	}
+
 	/**
 	 * Reads the list once.
 	 * @return completed when the list was read or failed
@@ -90,6 +109,25 @@
 		}
 		this.readable = true;
 		this.leaving = Set.copyOf(updated);
+		countMisses(instances);
+	}
+
+	private void countMisses(List<InstanceList.Instance> instances) {
+		if (instances.isEmpty()) {
+			return;
+		}
+		this.misses.replaceAll((identifier, count) -> count + 1);
+		instances.forEach((instance) -> this.misses.put(instance.identifier(), 0));
+		Set<String> missing = new TreeSet<>();
+		this.misses.forEach((identifier, count) -> {
+			if (count >= MISSES_TO_UNLISTED) {
+				missing.add(identifier);
+			}
+		});
+		if (!missing.equals(this.unlisted)) {
+			this.log.accept(Event.named("instances.unlisted").with("endpoints", String.join(",", missing)));
+		}
+		this.unlisted = Set.copyOf(missing);
 	}
 
 	@Override
--- a/control/src/main/java/org/masticshelf/control/placement/EndpointKeeper.java
+++ b/control/src/main/java/org/masticshelf/control/placement/EndpointKeeper.java
@@ -178,7 +178,7 @@
 	}
 
 	private boolean isGone() {
-		return this.listed == EndpointPresence.Presence.GONE;
+		return this.reports.isSilent() && (this.retired || this.listed == EndpointPresence.Presence.GONE);
 	}
 
 	private void trackProgress(EndpointRecord record, long now) {
@@ -345,7 +345,7 @@
 		if (isGone() || !this.reports.isReachable()) {
 			return EndpointState.Presence.UNREACHABLE;
 		}
-		boolean leaves = this.retired || this.listed == EndpointPresence.Presence.LEAVING;
+		boolean leaves = this.retired || this.listed != EndpointPresence.Presence.LIVE;
 		if (leaves) {
 			return EndpointState.Presence.LEAVING;
 		}
--- a/control/src/main/java/org/masticshelf/control/placement/EndpointPresence.java
+++ b/control/src/main/java/org/masticshelf/control/placement/EndpointPresence.java
@@ -26,7 +26,10 @@
 		/** Will be gone soon. */
 		LEAVING,
 
-		/** Certainly gone, with everything that it had loaded. */
+		/**
+		 * No longer listed. Once it does not answer either, it is taken to be gone with
+		 * everything that it had loaded.
+		 */
 		GONE
 
 	}
--- a/control/src/main/java/org/masticshelf/control/placement/EndpointReports.java
+++ b/control/src/main/java/org/masticshelf/control/placement/EndpointReports.java
@@ -19,6 +19,8 @@
 
 	private static final int FAILURES_TO_UNREACHABLE = 3;
 
+	private static final long EXPLORATION_MILLISECONDS = 2_000;
+
 	private final Tenancy tenancy;
 
 	private final Function<Asked, Reconciliation> reader;
@@ -27,6 +29,8 @@
 
 	private final LongSupplier interval;
 
+	private final long startedAt;
+
 	private @Nullable Reconciliation newest;
 
 	private boolean asking;
@@ -49,6 +53,7 @@
 		this.reader = reader;
 		this.arrived = arrived;
 		this.interval = interval;
+		this.startedAt = tenancy.now();
 	}
 
 	/**
@@ -118,11 +123,20 @@
 	}
 
 	/**
-	 * Returns whether the endpoint has reported or was given up.
+	 * Returns whether the endpoint has reported, failed to, or had long enough for it.
 	 * @return whether what is known about it is all that can be known now
 	 */
 	boolean isExplored() {
-		return this.newest != null || this.failures >= FAILURES_TO_UNREACHABLE;
+		return this.newest != null || this.failures > 0
+				|| this.tenancy.now() - this.startedAt >= EXPLORATION_MILLISECONDS;
+	}
+
+	/**
+	 * Returns whether the endpoint has stopped answering.
+	 * @return whether the last questions all failed
+	 */
+	boolean isSilent() {
+		return this.failures >= FAILURES_TO_UNREACHABLE;
 	}
 
 	/**
--- a/control/src/main/java/org/masticshelf/control/placement/PlacementKeeper.java
+++ b/control/src/main/java/org/masticshelf/control/placement/PlacementKeeper.java
@@ -36,8 +36,9 @@
  * {@code place/<store>}.
  * <p>
  * Invariants: nothing is decided before the records of all endpoints were read under the
- * tenure; what was learnt under a former tenure is dropped. Safe for use by several
- * threads under its own lock, which its parts share.
+ * tenure and each endpoint was heard of or given up; what was learnt under a former
+ * tenure is dropped. Safe for use by several threads under its own lock, which its parts
+ * share.
  */
 public final class PlacementKeeper {
 
@@ -136,8 +137,14 @@
 		}
 		this.endpoints.values().forEach(EndpointKeeper::drive);
 		this.endpoints.values().removeIf(EndpointKeeper::isDone);
+		boolean explored = this.endpoints.values().stream().allMatch(EndpointKeeper::isExplored);
+		updateView();
+		if (!explored) {
+			return () -> {
+			};
+		}
 		plan(current, now);
-		return publish(tenure, now);
+		return this.polls.due(this.view, tenure.fencing(), now);
 	}
 
 	private void begin(Duty.Tenure tenure, long now) {
@@ -301,19 +308,12 @@
 		}
 	}
 
-	private Runnable publish(Duty.Tenure tenure, long now) {
-		boolean explored = true;
+	private void updateView() {
 		for (EndpointKeeper endpoint : this.endpoints.values()) {
-			explored &= endpoint.isExplored();
 			if (endpoint.takeViewChange()) {
 				this.view.update(endpoint.endpoint().identifier(), endpoint.serving());
 			}
 		}
-		if (!explored) {
-			return () -> {
-			};
-		}
-		return this.polls.due(this.view, tenure.fencing(), now);
 	}
 
 	/**
--- a/control/src/test/java/org/masticshelf/control/placement/Fleet.java
+++ b/control/src/test/java/org/masticshelf/control/placement/Fleet.java
@@ -181,6 +181,8 @@
 
 		@Nullable Holder holder;
 
+		int checksLeft = Integer.MAX_VALUE;
+
 		@Override
 		public String name() {
 			return "place/store";
@@ -188,7 +190,8 @@
 
 		@Override
 		public @Nullable Tenure tenure() {
-			return this.tenure;
+			this.checksLeft--;
+			return (this.checksLeft >= 0) ? this.tenure : null;
 		}
 
 		@Override
--- a/control/src/test/java/org/masticshelf/control/placement/PlacementKeeperTests.java
+++ b/control/src/test/java/org/masticshelf/control/placement/PlacementKeeperTests.java
@@ -117,10 +117,25 @@
 		Truth.assertThat(fleet.engines.loads).isEmpty();
 	}
 
+	@Test
+	void orderIsNotSentWhenTheTenureEndsJustBefore() {
+		Fleet fleet = new Fleet(1, false, Fleet.model("m", 60, 1));
+		Fleet.Daemon holder = fleet.daemon("a");
+		fleet.give(holder);
+		fleet.run(1_200, holder);
+		holder.client.faults().holdAnswers();
+		holder.wants(holder, "m");
+		fleet.run(50, holder);
+		holder.client.faults().release();
+		holder.duty.checksLeft = 1;
+		fleet.run(50, holder);
+		Truth.assertThat(holder.port.orders("LOAD", "m")).isEqualTo(0);
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
-	void twoHoldersRacingLoadOnce(boolean checksFencing) {
-		Fleet fleet = new Fleet(2, checksFencing, Fleet.model("m", 60, 1));
+	void twoHoldersRacingExceedNothing(boolean checksFencing) {
+		Fleet fleet = new Fleet(1, checksFencing, Fleet.model("m", 60, 1), Fleet.model("n", 60, 1));
 		Fleet.Daemon first = fleet.daemon("a");
 		Fleet.Daemon second = fleet.daemon("b");
 		fleet.give(first);
@@ -128,10 +143,11 @@
 		fleet.move(second);
 		for (int round = 0; round < 100; round++) {
 			first.wants(first, "m");
-			second.wants(second, "m");
+			second.wants(second, "n");
 			fleet.run(50, first, second);
 		}
-		Truth.assertThat(fleet.engines.loads).containsExactly("m", 1);
+		Truth.assertThat(fleet.engines.violations).isEmpty();
+		Truth.assertThat(fleet.engines.held("e1")).containsExactly("n");
 	}
 
 	@ParameterizedTest
@@ -220,6 +236,17 @@
 		Truth.assertThat(fleet.engines.held("e2")).containsExactly("m");
 	}
 
+	@Test
+	void unlistedEndpointThatAnswersStillCounts() {
+		Fleet fleet = new Fleet(2, true, Fleet.model("m", 60, 1));
+		Fleet.Daemon holder = fleet.daemon("a");
+		wake(fleet, holder, "m");
+		fleet.presences.put("e1", EndpointPresence.Presence.GONE);
+		runWanting(fleet, holder, 6_000, "m");
+		Truth.assertThat(fleet.engines.violations).isEmpty();
+		Truth.assertThat(fleet.engines.held("e2")).containsExactly("m");
+	}
+
 	@Test
 	void endpointThatRestartedMidLoadLoadsAgain() {
 		Fleet fleet = new Fleet(1, true, Fleet.model("m", 60, 1));
--- a/daemon/src/main/java/org/masticshelf/daemon/ControlPlane.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/ControlPlane.java
@@ -30,7 +30,8 @@
  * configuration and the endpoints that leave.
  * <p>
  * Invariant: at most {@value #RELAYS_PER_DOMAIN} daemons of a failure domain watch the
- * key-value service while they can; the others ask peers. Safe for use by several threads.
+ * key-value service while they can; the others ask peers. Safe for use by several
+ * threads.
  */
 final class ControlPlane {
 
--- a/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
@@ -135,9 +135,8 @@
 		DemandReporter reporter = new DemandReporter(keepers, this.plane.configuration(), this.clock, incarnation);
 		PlacementView view = new PlacementView(keepers, reporter, this.clock);
 		ViewHolders holders = new ViewHolders(view, reporter, this.clock);
-		RequestServices services = new RequestServices(engine, plainService,
-				new ClientGrants(this.grants, this.clock), holders, this.active, this.clock, this.scheduler,
-				new RequestMetrics(this.metrics));
+		RequestServices services = new RequestServices(engine, plainService, new ClientGrants(this.grants, this.clock),
+				holders, this.active, this.clock, this.scheduler, new RequestMetrics(this.metrics));
 		PoolDispatchers dispatchers = new PoolDispatchers(this::newDispatcher);
 		ClaimRegistry claims = new ClaimRegistry(store, this.clock, new Delay.ForScheduler(this.scheduler), incarnation,
 				this::isRunning);
@@ -180,7 +179,8 @@
 
 	private void awaitReadiness() {
 		if (isReady()) {
-			EventLog.info(Event.named("daemon.ready").with("revision", this.plane.configuration().current().revision()));
+			EventLog
+				.info(Event.named("daemon.ready").with("revision", this.plane.configuration().current().revision()));
 			return;
 		}
 		this.scheduler.schedule(this::awaitReadiness, PUMP_MILLISECONDS, TimeUnit.MILLISECONDS);
@@ -197,6 +197,9 @@
 	}
 
 	private EndpointPresence.Presence presence(Pool.Endpoint endpoint) {
+		if (this.plane.endpoints().unlisted().contains(endpoint.identifier())) {
+			return EndpointPresence.Presence.GONE;
+		}
 		return this.plane.endpoints().leaving().contains(endpoint.identifier()) ? EndpointPresence.Presence.LEAVING
 				: EndpointPresence.Presence.LIVE;
 	}
@@ -208,8 +211,7 @@
 	private void adopted(Configuration configuration, PoolDispatchers dispatchers) {
 		dispatchers.update(configuration);
 		long now = System.currentTimeMillis() / MILLISECONDS_PER_SECOND;
-		this.active
-			.abortWithout((digest) -> AccessPolicy.INSTANCE.organisationOf(configuration, digest, now) != null);
+		this.active.abortWithout((digest) -> AccessPolicy.INSTANCE.organisationOf(configuration, digest, now) != null);
 	}
 
 	private void registerGauges(PoolDispatchers dispatchers) {
--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/LoadReports.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/LoadReports.java
@@ -47,8 +47,7 @@
 
 	private void read(PoolDispatcher dispatcher, Pool.Endpoint endpoint) {
 		EndpointBoard.ReportMark mark = dispatcher.mark(endpoint.identifier());
-		this.engine.report(endpoint)
-			.thenAccept((report) -> dispatcher.reported(endpoint.identifier(), report, mark));
+		this.engine.report(endpoint).thenAccept((report) -> dispatcher.reported(endpoint.identifier(), report, mark));
 	}
 
 }
--- a/daemon/src/main/java/org/masticshelf/daemon/operator/OperatorOperations.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/operator/OperatorOperations.java
@@ -26,8 +26,8 @@
 import org.masticshelf.transport.json.Json;
 
 /**
- * Answers the operators' tool: {@code status} and {@code explain}. Safe for use by several
- * threads.
+ * Answers the operators' tool: {@code status} and {@code explain}. Safe for use by
+ * several threads.
  */
 public final class OperatorOperations {
 
@@ -121,12 +121,8 @@
 
 	private void explainEndpoint(ObjectNode answer, Route route, PoolDispatcher dispatcher) {
 		Loadable loadable = route.loadable();
-		Selection selection = (loadable != null) ? Selection.among(this.holders.of(loadable))
-				: Selection.among(dispatcher.pool()
-					.endpoints()
-					.stream()
-					.map(Pool.Endpoint::identifier)
-					.collect(Collectors.toSet()));
+		Selection selection = (loadable != null) ? Selection.among(this.holders.of(loadable)) : Selection
+			.among(dispatcher.pool().endpoints().stream().map(Pool.Endpoint::identifier).collect(Collectors.toSet()));
 		selection.candidates().forEach(answer.putArray("candidates")::add);
 		if (loadable != null && selection.candidates().isEmpty()) {
 			answer.put("decision", "cold")
--- a/daemon/src/main/java/org/masticshelf/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/settings/DaemonSettings.java
@@ -51,8 +51,7 @@
 				reader.texts("failureDomains", true), reader.address("callerListener"),
 				reader.address("operatorListener"), reader.address("controlListener"),
 				reader.location("keyValueService"), reader.location("instanceList"),
-				reader.addresses("seedPeers", false), Limits.read(reader),
-				Drain.read(reader));
+				reader.addresses("seedPeers", false), Limits.read(reader), Drain.read(reader));
 		if (!settings.failureDomains().isEmpty() && !settings.failureDomains().contains(settings.failureDomain())) {
 			reader.mistake("failureDomain", "'" + settings.failureDomain() + "' is not among failureDomains");
 		}
