--- a/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
@@ -59,6 +59,16 @@
 
 	private long debtTokens;
 
+	private long keeperSeenAt;
+
+	private long loanFencing;
+
+	private long offeredLoanEnd;
+
+	private long loanEnd;
+
+	private boolean abandoned;
+
 	private boolean left;
 
 	/**
@@ -247,6 +257,14 @@
 			return false;
 		}
 		this.exchange = null;
+		this.abandoned = false;
+		if (last == null || last.fencing() != answer.fencing()) {
+			this.keeperSeenAt = now;
+		}
+		else if (current.request().lendMilliseconds() > 0) {
+			this.loanFencing = answer.fencing();
+			this.loanEnd = this.offeredLoanEnd;
+		}
 		current.group().answered(answer, now);
 		this.slices.forget(current.request().slices());
 		if (answer.sliceTokens() > 0 && !this.left) {
@@ -267,6 +285,7 @@
 		Exchange current = this.exchange;
 		if (current != null) {
 			current.group().abandoned();
+			this.abandoned = true;
 			this.exchange = null;
 		}
 	}
@@ -304,6 +323,7 @@
 		if (end <= now) {
 			return 0;
 		}
+		this.offeredLoanEnd = end;
 		this.credits.addAt(last, this.allotment.lend(end, now));
 		return lend;
 	}
@@ -323,7 +343,22 @@
 			return Math.clamp(wait, GrantTimes.URGENT_INTERVAL_NANOSECONDS, GrantTimes.ACTIVE_INTERVAL_NANOSECONDS);
 		}
 		boolean active = this.forecast.isActive(now) || this.slices.tokens(now) > 0 || !this.credits.isEmpty();
-		return active ? GrantTimes.ACTIVE_INTERVAL_NANOSECONDS : GrantTimes.IDLE_INTERVAL_NANOSECONDS;
+		if (active || isLoanDue(now)) {
+			return GrantTimes.ACTIVE_INTERVAL_NANOSECONDS;
+		}
+		return this.abandoned ? GrantTimes.RETRY_INTERVAL_NANOSECONDS : GrantTimes.IDLE_INTERVAL_NANOSECONDS;
+	}
+
+	// The keeper is still to be lent the allotment or to give one.
+	private boolean isLoanDue(long now) {
+		GrantAnswer last = this.lastAnswer;
+		if (this.abandoned || last == null) {
+			return false;
+		}
+		if (this.allotment.isHeld(now)) {
+			return this.loanFencing != last.fencing() || this.loanEnd - now < GrantTimes.IDLE_INTERVAL_NANOSECONDS;
+		}
+		return now - this.keeperSeenAt < GrantTimes.ACTIVE_NANOSECONDS;
 	}
 
 	private OpenCharge take(long tokens, long now) {
