--- a/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
@@ -197,6 +197,9 @@
 	}
 
 	private EndpointPresence.Presence presence(Pool.Endpoint endpoint) {
+		if (this.plane.endpoints().unlisted().contains(endpoint.identifier())) {
+			return EndpointPresence.Presence.GONE;
+		}
 		return this.plane.endpoints().leaving().contains(endpoint.identifier()) ? EndpointPresence.Presence.LEAVING
 				: EndpointPresence.Presence.LIVE;
 	}
