A revision is in force once all daemons of a majority of domains have it

Cause: one confirming daemon spoke for its failure domain, while another one of it may be cut off and be the one that a third daemon asks; the withdrawal proof needs all of them. Daemons now tell the members of their domain and the tool asks those too.

--- a/ctl/src/main/java/org/masticshelf/ctl/fleet/Confirmation.java
+++ b/ctl/src/main/java/org/masticshelf/ctl/fleet/Confirmation.java
@@ -25,8 +25,8 @@
 
 	/**
 	 * Returns whether the revision is in force.
-	 * @return whether daemons in a majority of the failure domains confirm it and none
-	 * that answered runs an older one
+	 * @return whether all running daemons of a majority of the failure domains confirm it
+	 * and none that answered runs an older one
 	 */
 	public boolean inForce() {
 		boolean older = this.statuses.stream()
@@ -62,19 +62,36 @@
 		return accepted + ", not yet in force on " + String.join(", ", missing);
 	}
 
+	// One daemon does not speak for its domain: another one of it may be cut off and be
+	// the one whose word a third daemon takes.
 	private boolean hasMajority() {
-		Set<String> all = new HashSet<>();
-		Set<String> confirmed = new HashSet<>();
+		Set<String> domains = new HashSet<>();
+		Set<String> confirming = new HashSet<>();
+		Set<String> behind = new HashSet<>();
 		for (DaemonStatus status : this.statuses) {
-			all.addAll(status.failureDomains());
-			if (!status.failureDomain().isEmpty()) {
-				all.add(status.failureDomain());
+			domains.addAll(status.failureDomains());
+			if (status.answer() == null) {
+				continue;
 			}
-			if (status.revision() >= this.revision) {
-				confirmed.add(status.failureDomain());
+			domains.add(status.failureDomain());
+			confirming.add(status.failureDomain());
+			if (!isConfirmedByAll(status)) {
+				behind.add(status.failureDomain());
 			}
 		}
-		return !confirmed.isEmpty() && confirmed.size() * 2 > all.size();
+		confirming.removeAll(behind);
+		return !confirming.isEmpty() && confirming.size() * 2 > domains.size();
+	}
+
+	private boolean isConfirmedByAll(DaemonStatus known) {
+		Set<String> running = new HashSet<>(known.domainMembers());
+		running.add(known.address());
+		return running.stream().allMatch(this::isConfirmedBy);
+	}
+
+	private boolean isConfirmedBy(String address) {
+		return this.statuses.stream()
+			.anyMatch((status) -> status.address().equals(address) && status.revision() >= this.revision);
 	}
 
 }
--- a/ctl/src/main/java/org/masticshelf/ctl/fleet/DaemonStatus.java
+++ b/ctl/src/main/java/org/masticshelf/ctl/fleet/DaemonStatus.java
@@ -44,6 +44,16 @@
 		return domains;
 	}
 
+	/**
+	 * Returns the daemons of its failure domain that the daemon knows to be running.
+	 * @return the addresses of their control listeners, empty if the daemon did not tell
+	 */
+	public List<String> domainMembers() {
+		List<String> members = new ArrayList<>();
+		field("domainMembers").forEach((address) -> members.add(address.asText()));
+		return members;
+	}
+
 	/**
 	 * Returns the status for people.
 	 * @return one line
--- a/ctl/src/main/java/org/masticshelf/ctl/fleet/Daemons.java
+++ b/ctl/src/main/java/org/masticshelf/ctl/fleet/Daemons.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -55,11 +57,21 @@
 	}
 
 	/**
-	 * Asks all daemons for their status at once.
-	 * @return one status for each daemon, in the order of the addresses
+	 * Asks all named daemons for their status, and those of the same failure domains that
+	 * they know of.
+	 * @return one status for each daemon, the named ones first in their order
 	 */
 	public List<DaemonStatus> statuses() {
-		List<CompletableFuture<DaemonStatus>> answers = this.addresses.stream().map(this::status).toList();
+		List<DaemonStatus> statuses = new ArrayList<>(ask(this.addresses));
+		Set<String> unnamed = new LinkedHashSet<>();
+		statuses.forEach((status) -> unnamed.addAll(status.domainMembers()));
+		this.addresses.forEach(unnamed::remove);
+		statuses.addAll(ask(List.copyOf(unnamed)));
+		return statuses;
+	}
+
+	private List<DaemonStatus> ask(List<String> asked) {
+		List<CompletableFuture<DaemonStatus>> answers = asked.stream().map(this::status).toList();
 		return answers.stream().map(CompletableFuture::join).toList();
 	}
 
--- a/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
@@ -142,8 +142,8 @@
 				this::isRunning);
 		this.entry = new RequestEntry(this.plane.configuration(), services, dispatchers, claims, incarnation);
 		this.plane.configuration().addListener((configuration) -> adopted(configuration, dispatchers));
-		new OperatorOperations(settings, self, this.plane.configuration(), dispatchers, holders, this.grants,
-				() -> this.draining)
+		new OperatorOperations(settings, this.plane.members(), this.plane.configuration(), dispatchers, holders,
+				this.grants, () -> this.draining)
 			.answerOn(channel);
 		this.plane.start();
 		keepers.start(this.scheduler);
--- a/daemon/src/main/java/org/masticshelf/daemon/operator/OperatorOperations.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/operator/OperatorOperations.java
@@ -33,7 +33,7 @@
 
 	private final DaemonSettings settings;
 
-	private final Members.Member self;
+	private final Members members;
 
 	private final ConfigurationRepository configuration;
 
@@ -48,17 +48,17 @@
 	/**
 	 * Creates operations.
 	 * @param settings the settings of this daemon
-	 * @param self this daemon
+	 * @param members the running daemons
 	 * @param configuration the configuration in force
 	 * @param dispatchers the queues before the pools
 	 * @param holders where models and adapters are loaded
 	 * @param grants the organisations' grants
 	 * @param draining whether this daemon is about to stop
 	 */
-	public OperatorOperations(DaemonSettings settings, Members.Member self, ConfigurationRepository configuration,
+	public OperatorOperations(DaemonSettings settings, Members members, ConfigurationRepository configuration,
 			PoolDispatchers dispatchers, Holders holders, GrantClient grants, BooleanSupplier draining) {
 		this.settings = settings;
-		this.self = self;
+		this.members = members;
 		this.configuration = configuration;
 		this.dispatchers = dispatchers;
 		this.holders = holders;
@@ -76,14 +76,20 @@
 	}
 
 	private JsonNode status() {
+		Members.Member self = this.members.self();
 		ObjectNode status = Json.mapper().createObjectNode();
-		status.put("instance", this.self.instance())
-			.put("incarnation", this.self.incarnation())
-			.put("failureDomain", this.self.failureDomain())
+		status.put("instance", self.instance())
+			.put("incarnation", self.incarnation())
+			.put("failureDomain", self.failureDomain())
 			.put("revision", this.configuration.current().revision())
 			.put("freshness", this.configuration.freshness().name())
 			.put("draining", this.draining.getAsBoolean());
 		this.settings.failureDomains().forEach(status.putArray("failureDomains")::add);
+		this.members.members()
+			.stream()
+			.filter((member) -> member.failureDomain().equals(self.failureDomain()))
+			.map(Members.Member::address)
+			.forEach(status.putArray("domainMembers")::add);
 		return status;
 	}
 
@@ -94,7 +100,7 @@
 		if (route == null) {
 			return answer.put("decision", "no such route");
 		}
-		answer.put("daemon", this.self.instance()).put("revision", current.revision());
+		answer.put("daemon", this.members.self().instance()).put("revision", current.revision());
 		answer.put("route", route.name().toString()).put("pool", route.pool().toString());
 		explainGrant(answer, current, question.path("organisation").asText(""));
 		Pool pool = current.pool(route.pool());
