The tool names what went wrong without the class of the failure

Cause: a run against three daemons and the stand-in service showed "org.masticshelf.kernel.port.KeyValueFailure:" to operators. Ruled out: wording each failure anew; the failure's own message says call, address and reason. Before: class name in the line. After: the message alone.

--- a/ctl/src/main/java/org/masticshelf/ctl/Session.java
+++ b/ctl/src/main/java/org/masticshelf/ctl/Session.java
@@ -96,7 +96,7 @@
 			return answer.get(ANSWER_BOUND.toMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (ExecutionException ex) {
-			throw new CommandFailure("unavailable", "the key-value service gave no answer: " + ex.getCause());
+			throw new CommandFailure("unavailable", "the key-value service gave no answer: " + reason(ex));
 		}
 		catch (TimeoutException ex) {
 			throw new CommandFailure("unavailable", "no answer within " + ANSWER_BOUND.toSeconds() + " s");
@@ -115,6 +115,11 @@
 		}
 	}
 
+	private static String reason(ExecutionException failure) {
+		Throwable cause = failure.getCause();
+		return String.valueOf((cause != null) ? cause.getMessage() : failure.getMessage());
+	}
+
 	private KeyValueStore store() {
 		KeyValueStore open = this.store;
 		if (open == null) {
