Copies of keys forget the first listing

Ruled out: nothing else fits, the copy itself was right. After: the first listing is no change, and only what a watch had lost is passed on under a later revision. Tests of duties and members are green.

--- a/control/src/main/java/org/masticshelf/control/view/PrefixView.java
+++ b/control/src/main/java/org/masticshelf/control/view/PrefixView.java
@@ -232,21 +232,24 @@
 			if (isOvertaken(atRevision)) {
 				return;
 			}
-			if (this.revision == 0) {
-				this.forgottenRevision = atRevision;
-			}
 			Set<String> gone = new TreeSet<>(this.entries.keySet());
+			long before = this.revision;
 			for (Entry entry : whole) {
 				gone.remove(entry.key());
 				if (!entry.equals(this.entries.get(entry.key()))) {
-					keep(entry, atRevision + 1);
+					boolean lost = entry.modifyRevision() <= before;
+					keep(entry, lost ? atRevision + 1 : entry.modifyRevision());
 					news = true;
 				}
 			}
 			for (String key : gone) {
-				keep(new Entry(key, null, 0, atRevision, 0), atRevision + 1);
+				keep(new Entry(key, null, 0, atRevision, 0), (atRevision > before) ? atRevision : atRevision + 1);
 				news = true;
 			}
+			if (before == 0) {
+				this.changes.clear();
+				this.forgottenRevision = atRevision;
+			}
 			this.bytes = whole.stream().mapToLong(PrefixView::size).sum();
 			this.revision = atRevision;
 		}
