A busy replica is unloaded only when its requests have ended

Cause: leaving out the wait for running requests failed no test. Ruled out: nothing else was changed.

--- a/control/src/test/java/org/masticshelf/control/placement/PlacementKeeperTests.java
+++ b/control/src/test/java/org/masticshelf/control/placement/PlacementKeeperTests.java
@@ -1,11 +1,15 @@
 package org.masticshelf.control.placement;
 
+import java.util.List;
+
 import com.google.common.truth.Truth;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.masticshelf.kernel.configuration.QualifiedName;
+import org.masticshelf.kernel.placement.LoadableCodec;
 import org.masticshelf.kernel.port.Engine;
 import org.masticshelf.standins.keyvalue.KeyValueCall;
 
@@ -292,6 +296,17 @@
 		Truth.assertThat(fleet.engines.held("e2")).containsExactly("m");
 	}
 
+	@Test
+	void busyReplicaIsUnloadedOnlyWhenItsRequestsHaveEnded() {
+		Fleet fleet = new Fleet(1, true, Fleet.model("m", 60, 1), Fleet.model("n", 60, 1));
+		Fleet.Daemon holder = fleet.daemon("a");
+		wake(fleet, holder, "m");
+		runPressing(fleet, holder, 15_000, 1);
+		Truth.assertThat(holder.port.orders("UNLOAD", "m")).isEqualTo(0);
+		runPressing(fleet, holder, 5_000, 0);
+		Truth.assertThat(fleet.engines.held("e1")).containsExactly("n");
+	}
+
 	@Test
 	void idleModelIsUnloadedOnce() {
 		Fleet fleet = new Fleet(1, true, Fleet.model("m", 60, 1));
@@ -309,6 +324,16 @@
 		fleet.run(1_900, holder);
 	}
 
+	private static void runPressing(Fleet fleet, Fleet.Daemon holder, long milliseconds, int inFlight) {
+		DemandReport.Waiting waiting = new DemandReport.Waiting(LoadableCodec.ofEngineName(Fleet.POOL, "n"),
+				QualifiedName.of("sofia/small"), 1, 6_000);
+		DemandReport.Used used = new DemandReport.Used("e1", LoadableCodec.ofEngineName(Fleet.POOL, "m"), inFlight, 0);
+		for (long passed = 0; passed < milliseconds; passed += 500) {
+			holder.keeper.demand(new DemandReport("a", "store", List.of(waiting), List.of(used)).toJson());
+			fleet.run(500, holder);
+		}
+	}
+
 	private static void runWanting(Fleet fleet, Fleet.Daemon holder, long milliseconds, String... names) {
 		for (long passed = 0; passed < milliseconds; passed += 500) {
 			holder.wants(holder, names);
