--- a/control/src/test/java/org/masticshelf/control/grant/GrantFailureTests.java
+++ b/control/src/test/java/org/masticshelf/control/grant/GrantFailureTests.java
@@ -127,6 +127,18 @@
 		Truth.assertThat(this.world.greatestBurst(GrantWorld.RATE)).isAtMost(GrantWorld.BURST);
 	}
 
+	@Test
+	void keeperThatReturnsForgetsItsEarlierTenure() {
+		this.world.run(SECOND.multipliedBy(10));
+		this.world.elect(this.world.daemons.get(1));
+		this.world.run(SECOND.multipliedBy(20));
+		this.world.demand(true);
+		this.world.run(SECOND.multipliedBy(2));
+		this.world.elect(this.world.daemons.get(0));
+		this.world.run(SECOND.multipliedBy(3));
+		Truth.assertThat(this.world.greatestBurst(GrantWorld.RATE)).isAtMost(GrantWorld.BURST);
+	}
+
 	@Test
 	void changedLimitsDoNotRefill() {
 		this.world.run(SECOND.multipliedBy(10));
--- a/kernel/src/test/java/org/masticshelf/kernel/grant/DaemonAccountTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/grant/DaemonAccountTests.java
@@ -94,6 +94,18 @@
 		Truth.assertThat(held(2_000)).isEqualTo(200);
 	}
 
+	@Test
+	void loanIsProlongedWhenTheDaemonFallsSilent() {
+		this.account.demand(10, 0);
+		exchange(0, 0, 100_000);
+		exchange(100, 0, 100_000);
+		exchange(4_900, 0, 100_000);
+		exchange(5_000, 0, 100_000);
+		long silent = 5_100 * MILLISECOND;
+		Truth.assertThat(this.account.nextExchangeAt(0, silent)).isAtMost(silent + 125 * MILLISECOND);
+		Truth.assertThat(begin(5_100).lendMilliseconds()).isEqualTo(30_000);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "58, true", "60, false" })
 	void allotmentRunsOutWithoutContact(long minutes, boolean usable) {
