--- a/bench/src/main/java/org/masticshelf/bench/GrantScheme.java
+++ b/bench/src/main/java/org/masticshelf/bench/GrantScheme.java
@@ -41,6 +41,17 @@
 	 */
 	void step(long now);
 
+	/**
+	 * Creates the chosen scheme.
+	 * @param limits the rate and burst
+	 * @param daemons the number of daemons
+	 * @param now the time in nanoseconds
+	 * @return the scheme
+	 */
+	static Kept chosen(GrantLimits limits, int daemons, long now) {
+		return new Kept(limits, daemons, GrantTimes.RESERVE_PARTS_PER_MILLION, GrantBench.ROUND_TRIP_NANOSECONDS, now);
+	}
+
 	/** Settles a charge. */
 	@FunctionalInterface
 	interface Settlement {
@@ -192,15 +203,4 @@
 
 	}
 
-	/**
-	 * Creates the chosen scheme.
-	 * @param limits the rate and burst
-	 * @param daemons the number of daemons
-	 * @param now the time in nanoseconds
-	 * @return the scheme
-	 */
-	static Kept chosen(GrantLimits limits, int daemons, long now) {
-		return new Kept(limits, daemons, GrantTimes.RESERVE_PARTS_PER_MILLION, GrantBench.ROUND_TRIP_NANOSECONDS, now);
-	}
-
 }
