--- a/bench/src/main/java/org/masticshelf/bench/PlacementBench.java
+++ b/bench/src/main/java/org/masticshelf/bench/PlacementBench.java
@@ -164,6 +164,8 @@
 
 	/**
 	 * Returns adapters of loaded models in turn, which wakes can load without eviction.
+	 * @param wake the number of the wake
+	 * @return an adapter that is not loaded
 	 */
 	private Loadable loadable(int wake) {
 		List<Pool> pools = this.configuration.tables().pools();
