--- a/control/src/main/java/org/masticshelf/control/grant/ClientAccount.java
+++ b/control/src/main/java/org/masticshelf/control/grant/ClientAccount.java
@@ -70,7 +70,7 @@
 			this.account.demand(tokens, now);
 		}
 		else if (outcome instanceof ChargeOutcome.Insufficient) {
-			this.hintedTokens = Math.max(this.hintedTokens, tokens);
+			hint(tokens, now);
 		}
 		return outcome;
 	}
@@ -88,7 +88,7 @@
 		if (this.waiters.isEmpty() && this.account.heldTokens(now) >= tokens) {
 			return 0;
 		}
-		this.hintedTokens = Math.max(this.hintedTokens, tokens);
+		hint(tokens, now);
 		return Math.max(1, this.account.earliest(waitingTokens() + tokens, now) - now);
 	}
 
@@ -217,6 +217,11 @@
 		return new ChargeOutcome.Insufficient(tokens, this.account.retryAfter(waitingTokens() + tokens, now));
 	}
 
+	private void hint(long tokens, long now) {
+		this.hintedTokens = Math.max(this.hintedTokens, tokens);
+		this.account.demand(0, now);
+	}
+
 	private long waitingTokens() {
 		return this.waiters.stream().mapToLong(Waiter::tokens).sum();
 	}
