--- a/systemtests/src/test/java/org/masticshelf/systemtests/Caller.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/Caller.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
 
 import org.masticshelf.transport.json.Json;
 
@@ -21,6 +22,8 @@
 
 	private static final Duration BOUND = Duration.ofSeconds(90);
 
+	private static final long DEADLINE_MILLISECONDS = 60_000;
+
 	private final HttpClient client = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
 		.connectTimeout(BOUND)
@@ -28,12 +31,24 @@
 
 	private final String key;
 
+	private final long deadlineMilliseconds;
+
 	/**
-	 * Creates a caller.
+	 * Creates a caller that waits for a minute.
 	 * @param key the key of its organisation
 	 */
 	Caller(String key) {
+		this(key, DEADLINE_MILLISECONDS);
+	}
+
+	/**
+	 * Creates a caller.
+	 * @param key the key of its organisation
+	 * @param deadlineMilliseconds the deadline that its requests name
+	 */
+	Caller(String key, long deadlineMilliseconds) {
 		this.key = key;
+		this.deadlineMilliseconds = deadlineMilliseconds;
 	}
 
 	/**
@@ -54,8 +69,7 @@
 	 * @param tokens the length of the answer in tokens
 	 * @return the lines of the stream as they come
 	 */
-	CompletableFuture<HttpResponse<java.util.stream.Stream<String>>> stream(DaemonProcess daemon, String model,
-			int tokens) {
+	CompletableFuture<HttpResponse<Stream<String>>> stream(DaemonProcess daemon, String model, int tokens) {
 		return this.client.sendAsync(request(daemon, "/v1/chat/completions", chatBody(model, tokens, true)).build(),
 				HttpResponse.BodyHandlers.ofLines());
 	}
@@ -72,6 +86,18 @@
 			.build());
 	}
 
+	/**
+	 * Asks a daemon whether it takes requests, as a load balancer does.
+	 * @param daemon the daemon
+	 * @return whether it is ready
+	 */
+	boolean isReady(DaemonProcess daemon) {
+		HttpRequest probe = HttpRequest.newBuilder(URI.create("http://" + daemon.operators() + "/readyz"))
+			.timeout(BOUND)
+			.build();
+		return send(probe).join().status() == 200;
+	}
+
 	private static byte[] chatBody(String model, int tokens, boolean stream) {
 		return Json.toBytes(Map.of("model", model, "stream", stream, "max_tokens", tokens, "messages",
 				List.of(Map.of("role", "user", "content", "a red crest"))));
@@ -81,6 +107,7 @@
 		return HttpRequest.newBuilder(URI.create("http://" + daemon.callers() + path))
 			.timeout(BOUND)
 			.header("authorization", "Bearer " + this.key)
+			.header("x-deadline-ms", Long.toString(this.deadlineMilliseconds))
 			.header("content-type", "application/json")
 			.POST(HttpRequest.BodyPublishers.ofByteArray(body));
 	}
--- a/systemtests/src/test/java/org/masticshelf/systemtests/DaemonProcess.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/DaemonProcess.java
@@ -30,6 +30,8 @@
 
 	private final String callers;
 
+	private final String operators;
+
 	private final String control;
 
 	private final Path settings;
@@ -44,12 +46,14 @@
 	 * Describes a daemon that is not started yet.
 	 * @param instance the identifier of its instance
 	 * @param callers the address of its listener for callers
+	 * @param operators the address of its listener for probes
 	 * @param control the address of its listener for other daemons
 	 * @param folder where its settings and its log stand
 	 */
-	DaemonProcess(String instance, String callers, String control, Path folder) {
+	DaemonProcess(String instance, String callers, String operators, String control, Path folder) {
 		this.instance = instance;
 		this.callers = callers;
+		this.operators = operators;
 		this.control = control;
 		this.settings = folder.resolve(instance + ".json");
 		this.log = folder.resolve(instance + ".log");
@@ -71,6 +75,14 @@
 		return this.callers;
 	}
 
+	/**
+	 * Returns where probes are answered.
+	 * @return the IP number and port
+	 */
+	String operators() {
+		return this.operators;
+	}
+
 	/**
 	 * Returns where other daemons and tools connect.
 	 * @return the IP number and port
--- a/systemtests/src/test/java/org/masticshelf/systemtests/FleetFixture.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/FleetFixture.java
@@ -21,6 +21,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 import org.masticshelf.control.configuration.ConfigurationWriter;
+import org.masticshelf.kernel.configuration.OrganisationKey;
 import org.masticshelf.kernel.configuration.Tables;
 import org.masticshelf.kernel.port.InstanceList;
 import org.masticshelf.kernel.port.KeyValueStore;
@@ -112,12 +113,13 @@
 		for (int index = 0; index < control.size(); index++) {
 			FaultProxy proxy = FaultProxy.start(HOST, 0, this.gateway.address());
 			this.keyValueProxies.add(proxy);
-			DaemonProcess daemon = new DaemonProcess("entry-" + index, freeAddress(), control.get(index), folder);
+			DaemonProcess daemon = new DaemonProcess("entry-" + index, freeAddress(), freeAddress(), control.get(index),
+					folder);
 			this.daemons.add(daemon);
 			Files.write(daemon.settings(), Json.toBytes(Map.ofEntries(Map.entry("instance", daemon.instance()),
 					Map.entry("failureDomain", FleetTables.domain(index)),
 					Map.entry("failureDomains", List.of("a", "b", "c")), Map.entry("callerListener", daemon.callers()),
-					Map.entry("operatorListener", freeAddress()), Map.entry("controlListener", daemon.control()),
+					Map.entry("operatorListener", daemon.operators()), Map.entry("controlListener", daemon.control()),
 					Map.entry("keyValueService", "etcd://" + proxy.address()),
 					Map.entry("instanceList", "instances+http://" + this.instances.address() + "/instances"),
 					Map.entry("seedPeers", control), Map.entry("drainNoticeMilliseconds", 500),
@@ -156,8 +158,8 @@
 	long withdraw(String digest) {
 		ConfigurationWriter writer = ConfigurationWriter.of(this.store.client(), "test");
 		return accepted(join(writer.changeKeys((keys) -> keys.stream()
-			.map((key) -> key.digest().equals(digest) ? new org.masticshelf.kernel.configuration.OrganisationKey(digest,
-					key.organisation(), key.expiresAtEpochSeconds(), true) : key)
+			.map((key) -> key.digest().equals(digest)
+					? new OrganisationKey(digest, key.organisation(), key.expiresAtEpochSeconds(), true) : key)
 			.toList(), 0, "test")));
 	}
 
@@ -179,13 +181,38 @@
 	}
 
 	private List<DaemonProcess> holders(String prefix) {
-		List<KeyValueStore.Entry> entries = join(this.store.client().list("masticshelf/duty/" + prefix)).entries();
+		List<KeyValueStore.Entry> duties = duties(prefix);
 		return this.daemons.stream()
-			.filter((daemon) -> entries.stream()
-				.anyMatch((entry) -> String.valueOf(entry.value()).contains(daemon.instance() + "-")))
+			.filter((daemon) -> duties.stream().anyMatch((entry) -> isHeldBy(daemon, entry)))
 			.toList();
 	}
 
+	private List<KeyValueStore.Entry> duties(String prefix) {
+		return join(this.store.client().list("masticshelf/duty/" + prefix)).entries();
+	}
+
+	private static boolean isHeldBy(DaemonProcess daemon, KeyValueStore.Entry entry) {
+		return String.valueOf(entry.value()).contains(daemon.instance() + "-");
+	}
+
+	/**
+	 * Returns whether a duty is held by a daemon.
+	 * @param prefix how the name of the duty begins
+	 * @return whether a daemon holds it
+	 */
+	boolean isHeld(String prefix) {
+		return !holders(prefix).isEmpty();
+	}
+
+	/**
+	 * Returns how many duties a daemon holds by the key-value service.
+	 * @param daemon the daemon
+	 * @return the number
+	 */
+	long dutiesOf(DaemonProcess daemon) {
+		return duties("").stream().filter((entry) -> isHeldBy(daemon, entry)).count();
+	}
+
 	/**
 	 * Returns how often the engines together began to load a model.
 	 * @param model the name of the model
@@ -268,9 +295,9 @@
 	}
 
 	private JsonNode status(DaemonProcess daemon) {
-		return Json
-			.toTree(join(this.client.exchange(HttpCall.postJson(daemon.control(), "/control/status", new byte[] { '{', '}' })))
-				.body());
+		return Json.toTree(join(
+				this.client.exchange(HttpCall.postJson(daemon.control(), "/control/status", new byte[] { '{', '}' })))
+			.body());
 	}
 
 	/**
