--- a/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/Daemon.java
@@ -95,6 +95,8 @@
 
 	private final CallerListener callers;
 
+	private final Readiness readiness;
+
 	private volatile boolean draining;
 
 	private Daemon(DaemonSettings settings) {
@@ -111,6 +113,7 @@
 		Engine engine = PortProvider.open(Engine.class, URI.create("openai://endpoints"));
 		PlainService plainService = PortProvider.open(PlainService.class, URI.create("http://endpoints"));
 		this.plane = new ControlPlane(settings, self, store, instances, channel, this.clock, this.scheduler);
+		this.readiness = new Readiness(this.plane.configuration(), this.clock);
 		GrantKeeper keeper = GrantKeeper.builder()
 			.withClock(this.clock)
 			.withDuties(this.plane.duties())
@@ -187,7 +190,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining && this.plane.configuration().isReady();
+		return !this.draining && this.readiness.isReached();
 	}
 
 	private PoolDispatcher newDispatcher(Pool pool) {
