--- a/systemtests/src/test/java/org/masticshelf/systemtests/DaemonProcess.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/DaemonProcess.java
@@ -111,6 +111,7 @@
 				this.incarnationBegan = this.lines.size();
 				Process started = builder.start();
 				this.process = started;
+				Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
 				Thread.ofPlatform().daemon().name("log-" + this.instance).start(() -> readLog(started));
 			}
 		}
--- a/systemtests/src/test/java/org/masticshelf/systemtests/FleetFixture.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/FleetFixture.java
@@ -10,7 +10,9 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +59,8 @@
 
 	private static final int PORTS = 18_000;
 
+	private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
+
 	final InMemoryKeyValue store = new InMemoryKeyValue(MonotonicClock.ForSystem.INSTANCE);
 
 	final List<EngineStandIn> engines = new ArrayList<>();
@@ -130,6 +134,9 @@
 	private static String freeAddress() {
 		while (true) {
 			int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+			if (!GIVEN_PORTS.add(port)) {
+				continue;
+			}
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
 				return HOST + ":" + socket.getLocalPort();
 			}
