--- a/systemtests/src/test/java/org/masticshelf/systemtests/GrantTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/GrantTests.java
@@ -66,8 +66,7 @@
 			fleet.daemons.get(3).kill();
 			awaitSent(2 * REQUESTS / 5);
 			fleet.daemons.get(2).freeze();
-			FleetFixture.await("the frozen daemon to lose its duties",
-					() -> fleet.dutiesOf(fleet.daemons.get(2)) == 0);
+			FleetFixture.await("the frozen daemon to lose its duties", () -> fleet.dutiesOf(fleet.daemons.get(2)) == 0);
 			fleet.daemons.get(2).goOn();
 			awaitSent(this.greedyAnswers.size() + REQUESTS / 5);
 			scheduler.shutdownNow();
