--- a/control/src/main/java/org/masticshelf/control/grant/ClientAccount.java
+++ b/control/src/main/java/org/masticshelf/control/grant/ClientAccount.java
@@ -92,6 +92,15 @@
 		return Math.max(1, this.account.earliest(waitingTokens() + tokens, now) - now);
 	}
 
+	/**
+	 * Returns whether the keeper has answered lately.
+	 * @param now the time in nanoseconds
+	 * @return whether it has
+	 */
+	synchronized boolean isInContact(long now) {
+		return this.account.isInContact(now);
+	}
+
 	/**
 	 * Charges tokens as soon as they are there.
 	 * @param tokens the tokens
--- a/control/src/main/java/org/masticshelf/control/grant/GrantClient.java
+++ b/control/src/main/java/org/masticshelf/control/grant/GrantClient.java
@@ -136,6 +136,15 @@
 		return wait;
 	}
 
+	/**
+	 * Returns whether the keeper of an organisation's grant has answered lately.
+	 * @param organisation the organisation
+	 * @return whether it is known how soon tokens can be there
+	 */
+	public boolean isInContact(QualifiedName organisation) {
+		return account(organisation).isInContact(this.clock.nanoseconds());
+	}
+
 	/**
 	 * Settles a charge with what was used.
 	 * @param organisation the organisation
--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/PoolDispatcher.java
@@ -275,8 +275,9 @@
 		if (holders.isEmpty()) {
 			return Readiness.COLD;
 		}
-		if (!work.covered()) {
-			return Readiness.NO_GRANT;
+		Readiness grant = work.grantReadiness();
+		if (grant != Readiness.READY) {
+			return grant;
 		}
 		Selection selection = new Selection(holders, work.prefixHash(), work.excluded());
 		return switch (this.router.choose(this.board, selection, now)) {
--- a/daemon/src/main/java/org/masticshelf/daemon/dispatch/Work.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/dispatch/Work.java
@@ -7,6 +7,7 @@
 import org.masticshelf.kernel.configuration.Pool;
 import org.masticshelf.kernel.configuration.QualifiedName;
 import org.masticshelf.kernel.queue.Forecast;
+import org.masticshelf.kernel.queue.Readiness;
 import org.masticshelf.kernel.refusal.Refusal;
 
 /**
@@ -80,9 +81,10 @@
 
 	/**
 	 * Returns whether the organisation's grant covers the cost now.
-	 * @return whether {@link #charge()} would succeed
+	 * @return {@link Readiness#READY} if {@link #charge()} would succeed, else
+	 * {@link Readiness#NO_GRANT} or {@link Readiness#GRANT_UNKNOWN}
 	 */
-	boolean covered();
+	Readiness grantReadiness();
 
 	/**
 	 * Charges the cost to the organisation's grant.
--- a/daemon/src/main/java/org/masticshelf/daemon/request/ClientGrants.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/ClientGrants.java
@@ -31,6 +31,11 @@
 		return this.client.waitNanoseconds(organisation, tokens) == 0;
 	}
 
+	@Override
+	public boolean isKnown(QualifiedName organisation) {
+		return this.client.isInContact(organisation);
+	}
+
 	@Override
 	public @Nullable Charge charge(QualifiedName organisation, long tokens) {
 		return switch (this.client.charge(organisation, tokens)) {
--- a/daemon/src/main/java/org/masticshelf/daemon/request/Grants.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/Grants.java
@@ -19,6 +19,13 @@
 	 */
 	boolean covers(QualifiedName organisation, long tokens);
 
+	/**
+	 * Returns whether it is known how soon the grant can cover a cost.
+	 * @param organisation the organisation
+	 * @return {@code false} while the keeper of the grant does not answer
+	 */
+	boolean isKnown(QualifiedName organisation);
+
 	/**
 	 * Charges a cost.
 	 * @param organisation the organisation
@@ -63,6 +70,11 @@
 			return true;
 		}
 
+		@Override
+		public boolean isKnown(QualifiedName organisation) {
+			return true;
+		}
+
 		@Override
 		public Charge charge(QualifiedName organisation, long tokens) {
 			return FreeCharge.INSTANCE;
--- a/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/ModelWork.java
@@ -17,6 +17,7 @@
 import org.masticshelf.kernel.port.Engine;
 import org.masticshelf.kernel.port.ExchangeFailure;
 import org.masticshelf.kernel.queue.Forecast;
+import org.masticshelf.kernel.queue.Readiness;
 import org.masticshelf.kernel.refusal.Refusal;
 import org.masticshelf.kernel.retry.FailedAttempt;
 import org.masticshelf.kernel.retry.RetryDecision;
@@ -159,8 +160,11 @@
 	}
 
 	@Override
-	public boolean covered() {
-		return grants().covers(organisation(), costTokens());
+	public Readiness grantReadiness() {
+		if (grants().covers(organisation(), costTokens())) {
+			return Readiness.READY;
+		}
+		return grants().isKnown(organisation()) ? Readiness.NO_GRANT : Readiness.GRANT_UNKNOWN;
 	}
 
 	@Override
--- a/daemon/src/main/java/org/masticshelf/daemon/request/PlainWork.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/request/PlainWork.java
@@ -18,6 +18,7 @@
 import org.masticshelf.kernel.port.ExchangeFailure;
 import org.masticshelf.kernel.port.PlainService;
 import org.masticshelf.kernel.queue.Forecast;
+import org.masticshelf.kernel.queue.Readiness;
 import org.masticshelf.kernel.refusal.Refusal;
 import org.masticshelf.kernel.retry.FailedAttempt;
 import org.masticshelf.kernel.retry.RetryDecision;
@@ -120,8 +121,8 @@
 	}
 
 	@Override
-	public boolean covered() {
-		return true;
+	public Readiness grantReadiness() {
+		return Readiness.READY;
 	}
 
 	@Override
--- a/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/grant/DaemonAccount.java
@@ -165,7 +165,7 @@
 	public long earliest(long tokens, long now) {
 		long missing = tokens + this.debtTokens - heldTokens(now);
 		GrantAnswer answer = this.lastAnswer;
-		if (missing <= 0 || answer == null || now - this.lastAnswerAt > CONTACT_NANOSECONDS) {
+		if (missing <= 0 || answer == null || !isInContact(now)) {
 			return now;
 		}
 		long beyond = missing - answer.availableTokens();
@@ -179,6 +179,15 @@
 		return Math.max(now, full);
 	}
 
+	/**
+	 * Returns whether the keeper has answered lately.
+	 * @param now the time in nanoseconds
+	 * @return whether its answers say how soon tokens can be there
+	 */
+	public boolean isInContact(long now) {
+		return this.lastAnswer != null && now - this.lastAnswerAt <= CONTACT_NANOSECONDS;
+	}
+
 	/**
 	 * Returns how long a refused caller should wait before it asks again.
 	 * @param tokens the tokens that the caller lacks, those of requests before included
@@ -186,8 +195,7 @@
 	 * @return the wait in nanoseconds, at least a second while the keeper does not answer
 	 */
 	public long retryAfter(long tokens, long now) {
-		boolean contact = this.lastAnswer != null && now - this.lastAnswerAt <= CONTACT_NANOSECONDS;
-		if (contact) {
+		if (isInContact(now)) {
 			return Math.max(MILLISECOND, earliest(tokens, now) - now);
 		}
 		long allotted = this.allotment.timeOf(tokens, now);
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/FairQueue.java
@@ -223,7 +223,7 @@
 	private void measure(String lane, Readiness state, long now) {
 		switch (state) {
 			case FULL -> rateOf(lane).limited(now);
-			case COLD, NO_GRANT -> rateOf(lane).interrupted();
+			case COLD, NO_GRANT, GRANT_UNKNOWN -> rateOf(lane).interrupted();
 			case READY -> {
 			}
 		}
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/OrganisationQueue.java
@@ -34,6 +34,8 @@
 
 	private @Nullable Waiting<T> oldestWithoutGrant;
 
+	private @Nullable Long limitedSince;
+
 	private int weight = 1;
 
 	void add(Waiting<T> waiting) {
@@ -111,6 +113,7 @@
 			.map(Map.Entry::getKey)
 			.min(Comparator.comparingLong(Waiting::sequence))
 			.orElse(null);
+		this.limitedSince = (this.oldestWithoutGrant != null) ? sinceOrNow(this.limitedSince, now) : null;
 		if (this.oldestWithoutGrant != null) {
 			this.grantRate.limited(now);
 		}
@@ -119,6 +122,10 @@
 		}
 	}
 
+	private static Long sinceOrNow(@Nullable Long since, long now) {
+		return (since != null) ? since : Long.valueOf(now);
+	}
+
 	/**
 	 * Notes that one of the requests was dispatched.
 	 * @param costTokens its cost in tokens
@@ -131,14 +138,19 @@
 
 	/**
 	 * Estimates how long the waiting requests take to get their tokens: by the measured
-	 * rate, and at least as long as the first of them has waited for its own.
+	 * rate, and at least as long as the first of them has waited for its own. Time in
+	 * which the keeper of the grant did not answer is not counted.
 	 * @param now the monotonic reading in nanoseconds
 	 * @return nanoseconds, 0 unless the grant limits them
 	 */
 	long grantWaitNanoseconds(long now) {
 		Waiting<T> oldest = this.oldestWithoutGrant;
 		boolean isWaiting = oldest != null && this.all.containsKey(oldest.sequence());
-		long waited = (isWaiting && oldest != null) ? now - oldest.arrived() : 0;
+		Long since = this.limitedSince;
+		long waited = 0;
+		if (isWaiting && oldest != null && since != null) {
+			waited = Math.min(now - oldest.arrived(), now - since);
+		}
 		return Math.max(waited, this.grantRate.nanosecondsFor(this.totalCost));
 	}
 
--- a/kernel/src/main/java/org/masticshelf/kernel/queue/Readiness.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/queue/Readiness.java
@@ -15,6 +15,12 @@
 	COLD,
 
 	/** The organisation has no tokens of its grant left at this daemon. */
-	NO_GRANT
+	NO_GRANT,
+
+	/**
+	 * The organisation has no tokens left at this daemon and the keeper of its grant does
+	 * not answer, so that nothing is known of its rate.
+	 */
+	GRANT_UNKNOWN
 
 }
--- a/kernel/src/test/java/org/masticshelf/kernel/queue/FairQueueTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/queue/FairQueueTests.java
@@ -209,6 +209,15 @@
 		Truth.assertThat(offer(11, SMALL, "a", 100)).isInstanceOf(Admission.Queued.class);
 	}
 
+	@Test
+	void doesNotHoldTimeWithoutKeeperAgainstOrganisation() {
+		offer(0, LARGE, "a", 100);
+		this.queue.poll(1, (waiting) -> Readiness.GRANT_UNKNOWN);
+		this.queue.poll(7 * SECOND, (waiting) -> Readiness.NO_GRANT);
+		Admission<Integer> later = this.queue.offer(candidate(1, LARGE, "a", 100), Forecast.NOW, 8 * SECOND);
+		Truth.assertThat(later).isInstanceOf(Admission.Queued.class);
+	}
+
 	private void serveByGrant(QualifiedName limited, int seconds) {
 		for (int second = 0; second < seconds; second++) {
 			this.queue.poll(-(seconds - second) * SECOND,
