--- a/control/src/main/java/org/masticshelf/control/placement/PlacementView.java
+++ b/control/src/main/java/org/masticshelf/control/placement/PlacementView.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -108,6 +109,7 @@
 			if (shard.beginsPoll(wanted, now)) {
 				ObjectNode question = shard.question(store, wanted);
 				this.keepers.callHolder(store, PlacementKeepers.VIEW, question, TIMEOUT)
+					.orTimeout(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
 					.whenComplete((answer, failure) -> answered(store, shard, answer, failure == null));
 			}
 		});
