--- a/systemtests/src/test/java/org/masticshelf/systemtests/GrantTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/GrantTests.java
@@ -12,11 +12,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.truth.Truth;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Grants over all daemons together, counted at the engines. */
-@Tag("known-red")
 class GrantTests {
 
 	private static final int REQUESTS = 500;
--- a/systemtests/src/test/java/org/masticshelf/systemtests/KeyTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/KeyTests.java
@@ -11,7 +11,6 @@
 import org.masticshelf.kernel.configuration.OrganisationKey;
 
 /** Withdrawn keys. */
-@Tag("known-red")
 class KeyTests {
 
 	private static final int LONG_TOKENS = 3_000;
@@ -19,6 +18,7 @@
 	private final Caller caller = new Caller(FleetTables.KEY);
 
 	@Test
+	@Tag("known-red")
 	void withdrawnKeyStopsKeptConnectionsAndOpenStreamsAtEveryDaemon() {
 		try (FleetFixture fleet = FleetFixture.builder("withdrawn").withEngines(2, 16, 10).start()) {
 			for (DaemonProcess daemon : fleet.daemons) {
--- a/systemtests/src/test/java/org/masticshelf/systemtests/KeyValueOutageTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/KeyValueOutageTests.java
@@ -13,7 +13,6 @@
 import org.masticshelf.standins.keyvalue.KeyValueState;
 
 /** The key-value service away, and put back to an older state. */
-@Tag("known-red")
 class KeyValueOutageTests {
 
 	private static final long DEADLINE_MILLISECONDS = 30_000;
@@ -42,6 +41,7 @@
 	}
 
 	@Test
+	@Tag("known-red")
 	void warmRequestsGoOnAfterTheServiceHasReturned() {
 		try (FleetFixture fleet = FleetFixture.builder("returned").start()) {
 			warm(fleet.daemons);
--- a/systemtests/src/test/java/org/masticshelf/systemtests/PlacementFaultTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/PlacementFaultTests.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Test;
 
 /** Cold models while daemons and endpoints fail. */
-@Tag("known-red")
 class PlacementFaultTests {
 
 	private final Caller caller = new Caller(FleetTables.KEY);
@@ -41,6 +40,7 @@
 	}
 
 	@Test
+	@Tag("known-red")
 	void daemonFrozenPastItsLeaseCausesNoSecondLoad() {
 		try (FleetFixture fleet = FleetFixture.builder("frozen-holder").withLoadTime(2_000).start()) {
 			DaemonProcess holder = fleet.holderOf("place/");
--- a/systemtests/src/test/java/org/masticshelf/systemtests/RollingRestartTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/RollingRestartTests.java
@@ -10,11 +10,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.google.common.truth.Truth;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Planned restarts under load. */
-@Tag("known-red")
 class RollingRestartTests {
 
 	private static final int CALLERS = 6;
