Copies of keys pass on the age of what they know

Relays had lost their duties, so nobody watched the service; each copy of the duties' keys counted as learnt lately because a peer's did, and that one because of this one. The old holders' keys stayed in the copies, no duty was vacant, and daemons asked a holder that was gone. Change: a copy tells peers how many milliseconds ago it was learnt from the service instead of 'lately'. Before: PrefixViewTests, four cases of two views that ask each other, all red. After: green, as are LeasedDutiesTests and LeasedMembersTests. Process tests: to be repeated.

--- a/control/src/main/java/org/masticshelf/control/view/PrefixView.java
+++ b/control/src/main/java/org/masticshelf/control/view/PrefixView.java
@@ -49,6 +49,8 @@
 
 	private static final int REMEMBERED_CHANGES = 256;
 
+	private static final Long NOW = 0L;
+
 	private final KeyValueStore store;
 
 	private final PeerChannel channel;
@@ -198,7 +200,7 @@
 			this.listedAt = this.clock.nanoseconds();
 		}
 		return this.store.list(this.prefix)
-			.thenAccept((snapshot) -> replace(snapshot.entries(), snapshot.revision(), true))
+			.thenAccept((snapshot) -> replace(snapshot.entries(), snapshot.revision(), NOW))
 			.exceptionally((failure) -> null);
 	}
 
@@ -219,37 +221,49 @@
 		synchronized (this) {
 			trusted = answer.revision > this.revision
 					|| (this.learntAt != null && sinceMilliseconds(this.learntAt) > RESTORED_MILLISECONDS);
-			if (answer.revision == this.revision && answer.lately) {
-				this.learntAt = this.clock.nanoseconds();
+			if (answer.revision == this.revision) {
+				learnt(answer.learntAgo);
 			}
 		}
 		if (!trusted || answer.revision == 0) {
 			return;
 		}
 		if (answer.whole) {
-			replace(answer.entries, answer.revision, answer.lately);
+			replace(answer.entries, answer.revision, answer.learntAgo);
 		}
 		else {
-			apply(answer.entries, answer.revision, answer.lately);
+			apply(answer.entries, answer.revision, answer.learntAgo);
 		}
 	}
 
 	private synchronized Answer answer(long known) {
-		boolean lately = isLearntLately();
+		Long learntAgo = (this.learntAt != null) ? Long.valueOf(sinceMilliseconds(this.learntAt)) : null;
 		if (known >= this.forgottenRevision && known <= this.revision) {
 			List<Entry> later = this.changes.stream()
 				.filter((change) -> change.noticedAt() > known)
 				.map(Change::entry)
 				.toList();
-			return new Answer(this.revision, lately, false, later);
+			return new Answer(this.revision, learntAgo, false, later);
+		}
+		return new Answer(this.revision, learntAgo, true, List.copyOf(this.entries.values()));
+	}
+
+	// Peers pass on the age of what they know, so that two copies never keep each other
+	// young.
+	private void learnt(@Nullable Long millisecondsAgo) {
+		if (millisecondsAgo == null) {
+			return;
+		}
+		long at = this.clock.nanoseconds() - TimeUnit.MILLISECONDS.toNanos(millisecondsAgo);
+		if (this.learntAt == null || at - this.learntAt > 0) {
+			this.learntAt = at;
 		}
-		return new Answer(this.revision, lately, true, List.copyOf(this.entries.values()));
 	}
 
-	private void replace(List<Entry> whole, long atRevision, boolean lately) {
+	private void replace(List<Entry> whole, long atRevision, @Nullable Long learntAgo) {
 		boolean news = false;
 		synchronized (this) {
-			this.learntAt = lately ? Long.valueOf(this.clock.nanoseconds()) : this.learntAt;
+			learnt(learntAgo);
 			if (isOvertaken(atRevision)) {
 				return;
 			}
@@ -297,7 +311,7 @@
 		return entry.key().length() + ((value != null) ? value.length() : 0);
 	}
 
-	private void apply(List<Entry> changed, long atRevision, boolean lately) {
+	private void apply(List<Entry> changed, long atRevision, @Nullable Long learntAgo) {
 		boolean news = false;
 		synchronized (this) {
 			for (Entry entry : changed) {
@@ -308,7 +322,7 @@
 				}
 			}
 			this.revision = Math.max(this.revision, atRevision);
-			this.learntAt = lately ? Long.valueOf(this.clock.nanoseconds()) : this.learntAt;
+			learnt(learntAgo);
 		}
 		if (news) {
 			this.listeners.forEach(Runnable::run);
@@ -359,7 +373,7 @@
 
 		@Override
 		public void changed(List<Entry> entries, long atRevision) {
-			apply(entries, atRevision, true);
+			apply(entries, atRevision, NOW);
 		}
 
 		@Override
@@ -387,11 +401,12 @@
 	 * What a peer answers.
 	 *
 	 * @param revision the revision of its copy
-	 * @param lately whether it learnt the copy lately
+	 * @param learntAgo how long ago the copy was learnt from the service, milliseconds,
+	 * {@code null} if never
 	 * @param whole whether the entries are all or only those changed since
 	 * @param entries the entries, with a {@code null} value where one was deleted
 	 */
-	private record Answer(long revision, boolean lately, boolean whole, List<Entry> entries) {
+	private record Answer(long revision, @Nullable Long learntAgo, boolean whole, List<Entry> entries) {
 	}
 
 }
--- /dev/null
+++ b/control/src/test/java/org/masticshelf/control/view/PrefixViewTests.java
@@ -0,0 +1,72 @@
+package org.masticshelf.control.view;
+
+import java.time.Duration;
+import java.util.List;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.kernel.port.KeyValueStore.Operation;
+import org.masticshelf.kernel.time.MonotonicClock;
+import org.masticshelf.standins.keyvalue.InMemoryKeyValue;
+import org.masticshelf.standins.peer.InMemoryPeers;
+
+/**
+ * Tests {@link PrefixView}.
+ */
+class PrefixViewTests {
+
+	private static final String KEY = "prefix/key";
+
+	private static final Duration ROUND = Duration.ofMillis(500);
+
+	/** A copy may be five seconds old before the service is asked again, in rounds. */
+	private static final int ROUNDS_TO_LEARN = 12;
+
+	private final MonotonicClock.Manual clock = new MonotonicClock.Manual();
+
+	private final InMemoryKeyValue store = new InMemoryKeyValue(this.clock);
+
+	private final InMemoryPeers peers = new InMemoryPeers();
+
+	private final PrefixView first = view("127.0.0.1:1", "127.0.0.1:2");
+
+	private final PrefixView second = view("127.0.0.1:2", "127.0.0.1:1");
+
+	private PrefixView view(String own, String other) {
+		return new PrefixView(this.store.client(), this.peers.join(own), this.clock, "prefix/", () -> false,
+				() -> List.of(other));
+	}
+
+	private void rounds(int count) {
+		for (int number = 0; number < count; number++) {
+			this.first.round();
+			this.second.round();
+			this.clock.advance(ROUND);
+		}
+	}
+
+	/**
+	 * Load pattern: an outage of the service has ended the relays' duties, so that nobody
+	 * watches it, and peers know no more than this daemon.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 3, 7 })
+	void peersDoNotVouchForEachOtherForEver(int roundsApart) {
+		this.store.transact(new KeyValueStore.Transaction(List.of(), List.of(new Operation.Put(KEY, "value", 0))))
+			.join();
+		for (int number = 0; number < roundsApart; number++) {
+			this.first.round();
+			this.clock.advance(ROUND);
+		}
+		rounds(ROUNDS_TO_LEARN);
+		Truth.assertThat(this.first.find(KEY)).isNotNull();
+		this.store.transact(new KeyValueStore.Transaction(List.of(), List.of(new Operation.Delete(KEY)))).join();
+		rounds(ROUNDS_TO_LEARN);
+		Truth.assertThat(this.first.find(KEY)).isNull();
+		Truth.assertThat(this.second.find(KEY)).isNull();
+	}
+
+}
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -272,6 +272,9 @@
 	// still
 	// arrive when the cut has healed.
 	private static void abort(ClientConnection connection) {
+		if (!connection.isOpen()) {
+			return;
+		}
 		try {
 			connection.setOption(Options.CLOSE_ABORT, true);
 		}
