Busy models without a copy are loaded first, also while nobody waits

Change: a model asked for once a second or more counts as missing without waiting callers, comes before all others, and its only copy makes no room for a rare model.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -22,13 +22,15 @@
  * engine's own disk or memory are fast. Each engine carries out one model order at a
  * time, and takes no order for an adapter meanwhile.
  * <p>
- * Adapters that somebody waits for come first, as they load at once; then models that
- * somebody waits for and no engine holds, those that an engine has at hand before those
- * that only the weight store has. Further copies of busy models come next, and last,
- * while nobody asks for anything, copies on disk of models that no engine has at hand.
- * Room is made by unloading what has been idle for longest, never a model that has
- * requests running or waiting unless it has copies to spare. Slow loads keep away from
- * engines whose adapters are asked for.
+ * Adapters that somebody waits for come first, as they load at once; then models that no
+ * engine holds. Busy ones precede the others and count also while nobody waits, because
+ * callers with a short objective are refused for as long as no copy is due; the others
+ * are those that somebody waits for, first what an engine has at hand and last what only
+ * the weight store has. Further copies of busy models come next, and last, while nobody
+ * asks for anything, copies on disk of models that no engine has at hand. Room is made by
+ * unloading what has been idle for longest, never a model that has requests running or
+ * waiting unless it has copies to spare, and never the only copy of a busy model for one
+ * that is not. Slow loads keep away from engines whose adapters are asked for.
  * <p>
  * One planner makes one plan and is then thrown away. Not safe for use by several
  * threads.
@@ -40,6 +42,12 @@
 	 */
 	static final double REQUESTS_FOR_STORE_LOAD = 9;
 
+	/**
+	 * Requests a second from which on a model is busy: within the time of a load from
+	 * disk and its wait more than one caller asks for it.
+	 */
+	static final double REQUESTS_OF_BUSY_MODEL = 1;
+
 	/** An adapter that was used more recently than this makes no room, milliseconds. */
 	static final long ADAPTER_IN_USE_MILLISECONDS = 300;
 
@@ -48,9 +56,6 @@
 
 	private static final long UNLOAD_MILLISECONDS = 100;
 
-	/** Each request that waits counts as much as this time of waiting. */
-	private static final long EACH_WAITING_MILLISECONDS = 300;
-
 	private static final long ADAPTER_MILLISECONDS = 50;
 
 	private final ResidencyFacts facts;
@@ -131,9 +136,14 @@
 				missing.merge(model, demand, ResidencyPlanner::join);
 			}
 		}
+		for (String model : this.facts.requestsPerSecond().keySet()) {
+			if (isBusy(model) && !this.copies.containsKey(model) && this.facts.models().containsKey(model)) {
+				missing.putIfAbsent(model, new WaitingDemand(Loadable.model(model), 0, 0));
+			}
+		}
 		List<WaitingDemand> ordered = new ArrayList<>(missing.values());
-		ordered.sort(Comparator
-			.<WaitingDemand>comparingInt((demand) -> this.atHand.contains(demand.loadable().model()) ? 0 : 1)
+		ordered.sort(Comparator.<WaitingDemand>comparingDouble((demand) -> -busyRate(demand.loadable().model()))
+			.thenComparingInt((demand) -> this.atHand.contains(demand.loadable().model()) ? 0 : 1)
 			.thenComparing(Comparator.comparingLong(WaitingDemand::oldestMilliseconds).reversed())
 			.thenComparing((demand) -> demand.loadable().model()));
 		for (WaitingDemand demand : ordered) {
@@ -141,8 +151,12 @@
 		}
 	}
 
-	private static long urgency(WaitingDemand demand) {
-		return demand.oldestMilliseconds() + EACH_WAITING_MILLISECONDS * demand.count();
+	private boolean isBusy(String model) {
+		return this.room.rate(model) >= REQUESTS_OF_BUSY_MODEL;
+	}
+
+	private double busyRate(String model) {
+		return isBusy(model) ? this.room.rate(model) : 0;
 	}
 
 	private static WaitingDemand join(WaitingDemand left, WaitingDemand right) {
@@ -319,7 +333,7 @@
 		}
 		long blocked = (long) (load * Math.min(1, adapterRate(engine) / REQUESTS_KEPT_FREE));
 		EngineRoom.Victims victims = this.room.victims(engine, profile, highestLoss(profile, reason),
-				(victim) -> reason != Reason.ANTICIPATED || mayMakeRoomForNobody(victim));
+				(victim) -> mayMakeRoom(victim, profile, reason));
 		if (victims == null) {
 			return null;
 		}
@@ -327,6 +341,13 @@
 		return new Option(engine, source, victims.models(), victims.loss(), ready, ready + blocked);
 	}
 
+	private boolean mayMakeRoom(String victim, ModelProfile profile, Reason reason) {
+		if (reason == Reason.ANTICIPATED) {
+			return mayMakeRoomForNobody(victim);
+		}
+		return !isBusy(victim) || isBusy(profile.name()) || this.copies.getOrDefault(victim, 1) > 1;
+	}
+
 	// Before anybody asks, models with several copies or with adapters are likely to be
 	// the busy ones.
 	private boolean mayMakeRoomForNobody(String model) {
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -165,6 +165,46 @@
 		Truth.assertThat(plan().steps()).containsExactly(load("one", "d", Step.Source.DISK, "hot"));
 	}
 
+	/**
+	 * Load pattern: the engine of a busy model was lost. Its callers have two seconds and
+	 * are refused at once while no copy is due, so that none of them waits; callers of
+	 * rare models wait for long.
+	 */
+	@Test
+	void busyModelWhoseCallersAreRefusedComesBeforeRareModelsThatAreWaitedFor() {
+		for (String name : List.of("busy", "rare", "rarer")) {
+			model(name, 0);
+		}
+		engine("one", Map.of(), Set.of("busy", "rare", "rarer"));
+		this.rates.put("busy", 8.0);
+		this.rates.put("rare", 0.25);
+		waitsFor("rare", 9_000);
+		waitsFor("rarer", 5_000);
+		Truth.assertThat(plan().steps()).containsExactly(load("one", "busy", Step.Source.DISK));
+	}
+
+	@Test
+	void modelThatWasAskedForOnceIsNotLoadedForNobody() {
+		model("rare", 0);
+		engine("one", Map.of(), Set.of("rare"));
+		this.rates.put("rare", 0.25);
+		Truth.assertThat(plan().steps()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "8.0, two", "0.25, one" })
+	void onlyCopyOfBusyModelMakesNoRoomForRareOne(double rate, String expected) {
+		for (String name : List.of("asked", "b", "c", "d", "e", "f", "rare")) {
+			model(name, 0);
+		}
+		this.rates.put("asked", rate);
+		engine("one", Map.of("asked", idleFor(50_000), "b", busy(), "c", busy()), Set.of("rare"));
+		engine("two", Map.of("d", idleFor(100), "e", busy(), "f", busy()), Set.of("rare"), 1_000, "");
+		waitsFor("rare", 10);
+		List<Step> steps = plan().steps();
+		Truth.assertThat(steps.isEmpty() ? "two" : steps.get(0).endpoint()).isEqualTo(expected);
+	}
+
 	@Test
 	void busyModelGetsCopiesFromDisk() {
 		model("hot", 0);
