--- a/control/src/main/java/org/masticshelf/control/duty/LeasedDuties.java
+++ b/control/src/main/java/org/masticshelf/control/duty/LeasedDuties.java
@@ -20,7 +20,7 @@
  * only while the lease that the key is bound to is certainly held. Safe for use by
  * several threads.
  */
-public final class LeasedDuties implements Duties, AutoCloseable {
+public final class LeasedDuties implements Duties {
 
 	/** Precedes the name of a duty. */
 	public static final String PREFIX = "masticshelf/duty/";
@@ -80,11 +80,13 @@
 	}
 
 	/**
-	 * Ends all tenures. The keys go when the lease is released.
+	 * Ends all tenures and leaves the duties to other daemons at once. What the service
+	 * does not hear goes with the lease.
+	 * @return completed when the service has answered or failed
 	 */
-	@Override
-	public void close() {
-		this.competing.values().forEach(LeasedDuty::close);
+	public CompletableFuture<Void> handOver() {
+		List<CompletableFuture<Void>> steps = this.competing.values().stream().map(LeasedDuty::close).toList();
+		return CompletableFuture.allOf(steps.toArray(CompletableFuture[]::new));
 	}
 
 	/**
--- a/control/src/main/java/org/masticshelf/control/duty/LeasedDuty.java
+++ b/control/src/main/java/org/masticshelf/control/duty/LeasedDuty.java
@@ -213,18 +213,34 @@
 	}
 
 	/**
-	 * Ends the tenure and competes no more.
+	 * Ends the tenure, competes no more, and leaves the duty to others at once.
+	 * @return completed when the service has answered or failed
 	 */
-	void close() {
-		boolean lost;
+	CompletableFuture<Void> close() {
+		Held given;
 		synchronized (this) {
-			lost = this.held != null;
+			given = this.held;
 			this.held = null;
 			this.closed = true;
 		}
-		if (lost) {
-			this.listeners.forEach(Listener::lost);
+		if (given == null) {
+			return CompletableFuture.completedFuture(null);
 		}
+		this.listeners.forEach(Listener::lost);
+		// The key is never written again, so that it was last changed when it was
+		// created.
+		Condition ours = new Condition.ModifiedAt(this.key, given.tenure.fencing());
+		return this.context.store()
+			.transact(new KeyValueStore.Transaction(List.of(ours), List.of(new Operation.Delete(this.key))))
+			.handle((outcome, failure) -> {
+				this.context.log()
+					.accept(Event.named("duty.handed_over")
+						.with("duty", this.name)
+						.with("fencing", given.tenure.fencing())
+						.with("taken_back", failure == null && outcome.applied())
+						.with("cause", (failure != null) ? failure.toString() : "none"));
+				return null;
+			});
 	}
 
 	/**
--- a/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
+++ b/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
@@ -164,7 +164,7 @@
 
 		/** Stops as planned. */
 		public void stop() {
-			this.duties.close();
+			this.duties.handOver();
 			this.lease.release();
 			DutyFleet.this.daemons.remove(this);
 		}
--- a/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
+++ b/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
@@ -26,6 +26,9 @@
 	/** Ten seconds in rounds. */
 	private static final int MOVE_BOUND = 20;
 
+	/** The longest time that candidates let each other go first, in rounds. */
+	private static final int HANDOVER_ROUNDS = 6;
+
 	private final DutyFleet fleet = started(4, 4);
 
 	private static DutyFleet started(int daemons, int direct) {
@@ -102,6 +105,29 @@
 		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
 	}
 
+	@Test
+	void movesBeforeTheLeaseOfLeavingDaemonIsReleased() {
+		DutyFleet.Daemon leaving = holder();
+		long fencing = fencing();
+		leaving.duties.handOver();
+		this.fleet.steps(HANDOVER_ROUNDS);
+		Truth.assertThat(leaving.lease.held()).isNotEqualTo(0);
+		Truth.assertThat(leaving.duties.compete(DUTY).tenure()).isNull();
+		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
+		Truth.assertThat(fencing()).isGreaterThan(fencing);
+	}
+
+	@Test
+	void dutyThatWasTakenOverIsNotTakenAway() {
+		DutyFleet.Daemon old = holder();
+		this.fleet.freeze(old);
+		this.fleet.steps(MOVE_BOUND);
+		long fencing = fencing();
+		old.duties.handOver();
+		this.fleet.steps(1);
+		Truth.assertThat(fencing()).isEqualTo(fencing);
+	}
+
 	@Test
 	void hasNoHolderWhileServiceIsDown() {
 		this.fleet.store.faults().setDown(true);
--- a/daemon/src/main/java/org/masticshelf/daemon/ControlPlane.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/ControlPlane.java
@@ -129,8 +129,7 @@
 	 * @return completed when the key-value service has answered or failed
 	 */
 	CompletableFuture<Void> leave() {
-		this.duties.close();
-		return this.lease.release();
+		return CompletableFuture.allOf(this.duties.handOver(), this.lease.release());
 	}
 
 	LeasedMembers members() {
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -258,7 +258,9 @@
 		long begunAt = this.clock.milliseconds();
 		enter(StopPhase.LEAVING);
 		this.placement.stop();
-		this.duties.close();
+		// Orders that are still open have ended before the next holder's settling time
+		// has.
+		this.duties.handOver();
 		awaitUntil(begunAt + NOTICE_MILLISECONDS, false);
 		enter(StopPhase.REFUSING);
 		long until = begunAt + this.settings.stopMilliseconds() - LEAVE_MILLISECONDS;
