Nothing makes room for what nobody asks for

Change: models are fetched ahead into free memory only. Test makesNoRoomBeforeAnybodyAsks, which fails with the planner before.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -343,23 +343,15 @@
 
 	private boolean mayMakeRoom(String victim, ModelProfile profile, Reason reason) {
 		if (reason == Reason.ANTICIPATED) {
-			return mayMakeRoomForNobody(victim);
+			return false;
 		}
 		return !isBusy(victim) || isBusy(profile.name()) || this.copies.getOrDefault(victim, 1) > 1;
 	}
 
-	// Before anybody asks, models with several copies or with adapters are likely to be
-	// the busy ones.
-	private boolean mayMakeRoomForNobody(String model) {
-		ModelProfile profile = this.facts.models().get(model);
-		return profile != null && profile.adapters() == 0 && this.copies.getOrDefault(model, 1) == 1;
-	}
-
 	private double highestLoss(ModelProfile profile, Reason reason) {
 		return switch (reason) {
-			case WAITED_FOR -> Double.MAX_VALUE;
+			case WAITED_FOR, ANTICIPATED -> Double.MAX_VALUE;
 			case BUSY -> this.room.rate(profile.name()) / (this.copies.getOrDefault(profile.name(), 0) + 1);
-			case ANTICIPATED -> REQUESTS_KEPT_FREE;
 		};
 	}
 
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -271,6 +271,20 @@
 		Truth.assertThat(plan().steps()).containsExactly(load("one", "b", Step.Source.STORE));
 	}
 
+	/**
+	 * Load pattern: the minutes before the first request, in which the busiest model may
+	 * have a single copy.
+	 */
+	@Test
+	void makesNoRoomBeforeAnybodyAsks() {
+		for (String name : List.of("a", "b", "c", "absent")) {
+			model(name, 0);
+		}
+		engine("one", Map.of("a", idleFor(90_000), "b", idleFor(90_000), "c", idleFor(90_000)), Set.of("a", "b", "c"));
+		this.complete = true;
+		Truth.assertThat(plan().steps()).isEmpty();
+	}
+
 	@Test
 	void fetchesNothingAheadWhileAnybodyAsks() {
 		model("a", 0);
