Further copies of busy models go to other failure domains

Change: a copy in a failure domain that has one counts as a load from disk worse. Test furtherCopyGoesToAnotherFailureDomain failed first.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/Engine.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/Engine.java
@@ -7,6 +7,7 @@
  * An engine as the planner sees it. Immutable.
  *
  * @param identifier the endpoint's identifier
+ * @param failureDomain its failure domain
  * @param megabytes memory for weights and adapters
  * @param adapterSlots how many adapters it holds at most
  * @param loaded what is loaded, by model
@@ -15,8 +16,9 @@
  * @param freeInMilliseconds how long the order under way still takes, 0 if there is none
  * @param loading the model that is being loaded, empty for none
  */
-public record Engine(String identifier, double megabytes, int adapterSlots, Map<String, Resident> loaded,
-		Set<String> inMemory, Set<String> onDisk, long freeInMilliseconds, String loading) {
+public record Engine(String identifier, String failureDomain, double megabytes, int adapterSlots,
+		Map<String, Resident> loaded, Set<String> inMemory, Set<String> onDisk, long freeInMilliseconds,
+		String loading) {
 
 	/** Creates an engine. */
 	public Engine {
@@ -25,6 +27,15 @@
 		onDisk = Set.copyOf(onDisk);
 	}
 
+	/**
+	 * Returns whether the engine holds a model or is about to.
+	 * @param model the model
+	 * @return whether it does
+	 */
+	public boolean holds(String model) {
+		return this.loaded.containsKey(model) || this.loading.equals(model);
+	}
+
 	/**
 	 * Returns how many adapters are loaded.
 	 * @return the number over all models
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -26,11 +26,12 @@
  * engine holds. Busy ones precede the others and count also while nobody waits, because
  * callers with a short objective are refused for as long as no copy is due; the others
  * are those that somebody waits for, first what an engine has at hand and last what only
- * the weight store has. Further copies of busy models come next, and last, while nobody
- * asks for anything, copies on disk of models that no engine has at hand. Room is made by
- * unloading what has been idle for longest, never a model that has requests running or
- * waiting unless it has copies to spare, and never the only copy of a busy model for one
- * that is not. Slow loads keep away from engines whose adapters are asked for.
+ * the weight store has. Further copies of busy models come next, in failure domains that
+ * have none, and last, while nobody asks for anything, copies on disk of models that no
+ * engine has at hand. Room is made by unloading what has been idle for longest, never a
+ * model that has requests running or waiting unless it has copies to spare, and never the
+ * only copy of a busy model for one that is not. Slow loads keep away from engines whose
+ * adapters are asked for.
  * <p>
  * One planner makes one plan and is then thrown away. Not safe for use by several
  * threads.
@@ -48,6 +49,12 @@
 	 */
 	static final double REQUESTS_OF_BUSY_MODEL = 1;
 
+	/**
+	 * What a further copy in a failure domain that has one counts: the time of a load
+	 * from disk, for which one in another domain is waited for.
+	 */
+	static final long SAME_DOMAIN_MILLISECONDS = 2_000;
+
 	/** An adapter that was used more recently than this makes no room, milliseconds. */
 	static final long ADAPTER_IN_USE_MILLISECONDS = 300;
 
@@ -338,7 +345,15 @@
 			return null;
 		}
 		ready += victims.models().isEmpty() ? 0 : UNLOAD_MILLISECONDS;
-		return new Option(engine, source, victims.models(), victims.loss(), ready, ready + blocked);
+		long crowded = (reason == Reason.BUSY && isHeldIn(engine.failureDomain(), profile.name()))
+				? SAME_DOMAIN_MILLISECONDS : 0;
+		return new Option(engine, source, victims.models(), victims.loss(), ready, ready + blocked + crowded);
+	}
+
+	private boolean isHeldIn(String failureDomain, String model) {
+		return this.facts.engines()
+			.stream()
+			.anyMatch((engine) -> engine.failureDomain().equals(failureDomain) && engine.holds(model));
 	}
 
 	private boolean mayMakeRoom(String victim, ModelProfile profile, Reason reason) {
@@ -403,7 +418,8 @@
 	 * @param victims the models to unload first
 	 * @param loss what holding the victims is worth
 	 * @param readyIn when it would be ready, milliseconds
-	 * @param charge when it would be ready, with what the engine cannot do meanwhile
+	 * @param charge when it would be ready, with what the engine cannot do meanwhile and
+	 * what a copy is worth less beside another one
 	 */
 	private record Option(Engine engine, Step.Source source, List<String> victims, double loss, long readyIn,
 			long charge) {
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -29,6 +29,8 @@
 
 	private final Map<String, Double> rates = new HashMap<>();
 
+	private final Map<String, String> domains = new HashMap<>();
+
 	private int storeLoads;
 
 	private boolean complete;
@@ -56,7 +58,8 @@
 
 	private void engine(String name, Map<String, Engine.Resident> loaded, Set<String> onDisk, long freeIn,
 			String loading) {
-		this.engines.add(new Engine(name, MEGABYTES, 8, loaded, Set.of(), onDisk, freeIn, loading));
+		this.engines.add(new Engine(name, this.domains.getOrDefault(name, "domain-" + name), MEGABYTES, 8, loaded,
+				Set.of(), onDisk, freeIn, loading));
 	}
 
 	private void waitsFor(String loadable, long milliseconds) {
@@ -215,6 +218,18 @@
 		Truth.assertThat(plan().steps()).containsExactly(load("two", "hot", Step.Source.DISK));
 	}
 
+	/** Load pattern: a failure domain is cut off, with all copies of a busy model. */
+	@Test
+	void furtherCopyGoesToAnotherFailureDomain() {
+		model("hot", 0);
+		this.rates.put("hot", 10.0);
+		this.domains.putAll(Map.of("one", "a", "two", "a", "three", "b"));
+		engine("one", Map.of("hot", busy()), Set.of("hot"));
+		engine("two", Map.of(), Set.of("hot"));
+		engine("three", Map.of(), Set.of("hot"), 0, "");
+		Truth.assertThat(plan().steps()).containsExactly(load("three", "hot", Step.Source.DISK));
+	}
+
 	@Test
 	void storeTakesNoMoreLoadsThanItServesAtFullSpeed() {
 		for (int index = 0; index < 6; index++) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
@@ -278,8 +278,8 @@
 		Step.Load step = this.modelStep;
 		long freeIn = (step != null) ? Math.max(1, this.modelStepEndsAt - now) : 0;
 		String loading = (step != null) ? step.loadable().model() : "";
-		return new Engine(this.endpoint.identifier(), profile.megabytes(), profile.adapterSlots(), residents,
-				this.inMemory, this.onDisk, freeIn, loading);
+		return new Engine(this.endpoint.identifier(), this.endpoint.failureDomain(), profile.megabytes(),
+				profile.adapterSlots(), residents, this.inMemory, this.onDisk, freeIn, loading);
 	}
 
 	private long idle(String loadable, long now) {
