--- a/serving/src/main/java/org/masticshelf/serving/PeerTalk.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerTalk.java
@@ -21,6 +21,7 @@
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerBoard;
+import org.masticshelf.serving.peer.PeerCensus;
 import org.masticshelf.serving.peer.PeerLink;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.placement.Placement;
@@ -159,15 +160,10 @@
 	 */
 	private void speak(boolean all) {
 		this.messageDue.set(false);
-		String own = this.parts.members().self().incarnation();
-		Map<String, String> addresses = new HashMap<>();
-		for (Members.Member member : this.parts.members().members()) {
-			if (!member.incarnation().equals(own)) {
-				addresses.put(member.incarnation(), member.address());
-			}
-		}
-		// A peer that the store turns away has no key there, but may still be heard.
 		Map<String, PeerMessage> alive = this.parts.board().lately();
+		Map<String, String> addresses = PeerCensus.peers(this.parts.members().self(), this.parts.members().members(),
+				alive.keySet());
+		// A peer that the store turns away has no key there, but may still be heard.
 		alive.forEach((incarnation, message) -> addresses.put(incarnation, message.address()));
 		this.parts.grants().peers(addresses.keySet(), !this.leased && alive.isEmpty());
 		this.parts.loads().peers(this.parts.board().running());
--- /dev/null
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerCensusTests.java
@@ -0,0 +1,41 @@
+package org.masticshelf.serving.peer;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.masticshelf.control.membership.Members.Member;
+
+/**
+ * Tests {@link PeerCensus}.
+ */
+class PeerCensusTests {
+
+	private static Member member(String incarnation) {
+		String instance = incarnation.substring(0, incarnation.indexOf('-'));
+		return new Member(incarnation, instance, "127.0.0.1:" + instance.hashCode(), "domain");
+	}
+
+	private static Set<String> set(String text) {
+		return Stream.of(text.split(" ")).filter((one) -> !one.isEmpty()).collect(Collectors.toSet());
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "nobody was heard yet, a-2 b-1 c-1, '', b-1 c-1", "all are heard, a-2 b-1 c-1, b-1 c-1, b-1 c-1",
+			"own run before, a-1 a-2 b-1, b-1, b-1",
+			"run before of a peer that is heard, a-2 b-1 b-2 c-1, b-2, b-2 c-1",
+			"all started anew, a-1 a-2 b-1 b-2 c-1 c-2, b-2 c-2, b-2 c-2",
+			"a peer that is silent counts, a-2 b-1 b-2 c-1 c-2, b-2, b-2 c-1 c-2" })
+	void countsEachInstanceOnceWhenItIsHeard(String situation, String members, String heard, String expected) {
+		List<Member> all = set(members).stream().map(PeerCensusTests::member).toList();
+		Truth.assertWithMessage(situation)
+			.that(PeerCensus.peers(member("a-2"), all, set(heard)).keySet())
+			.isEqualTo(set(expected));
+	}
+
+}
