A lease that the store still knows is taken up again

Where leases rest while the store is away, the key was the old holder's all along. Change: the serving daemon renews its former lease before it asks for a new one, and no longer ends it; whoever still has the key has the same tenure again. The product's other daemon is as before, since its keepers start anew.

--- a/control/src/main/java/org/masticshelf/control/duty/DaemonLease.java
+++ b/control/src/main/java/org/masticshelf/control/duty/DaemonLease.java
@@ -34,12 +34,16 @@
 
 	private final Duration timeToLive;
 
+	private final boolean resuming;
+
 	private final Consumer<Event> log;
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
 	private long identifier;
 
+	private long lapsedIdentifier;
+
 	private long validUntil;
 
 	private long nextSendAt;
@@ -53,20 +57,30 @@
 	 * @param log receives the events
 	 */
 	public DaemonLease(KeyValueStore store, MonotonicClock clock, Consumer<Event> log) {
-		this(store, clock, TIME_TO_LIVE, log);
+		this(store, clock, TIME_TO_LIVE, false, log);
 	}
 
 	/**
-	 * Creates a lease that is not held yet.
+	 * Creates a lease that is not held yet and is taken up again after it was not certain
+	 * for a while: if the service still knows it, nobody else could take the keys bound
+	 * to it meanwhile.
 	 * @param store the key-value service
 	 * @param clock the clock
 	 * @param timeToLive how long the lease lives without renewal
 	 * @param log receives the events
+	 * @return the lease
 	 */
-	public DaemonLease(KeyValueStore store, MonotonicClock clock, Duration timeToLive, Consumer<Event> log) {
+	public static DaemonLease resuming(KeyValueStore store, MonotonicClock clock, Duration timeToLive,
+			Consumer<Event> log) {
+		return new DaemonLease(store, clock, timeToLive, true, log);
+	}
+
+	private DaemonLease(KeyValueStore store, MonotonicClock clock, Duration timeToLive, boolean resuming,
+			Consumer<Event> log) {
 		this.store = store;
 		this.clock = clock;
 		this.timeToLive = timeToLive;
+		this.resuming = resuming;
 		this.log = log;
 		this.nextSendAt = clock.nanoseconds();
 	}
@@ -95,6 +109,7 @@
 		long now = this.clock.nanoseconds();
 		long lapsed = 0;
 		long current;
+		long former;
 		synchronized (this) {
 			if (this.closed) {
 				return CompletableFuture.completedFuture(null);
@@ -102,6 +117,7 @@
 			if (this.identifier != 0 && now - this.validUntil >= 0) {
 				lapsed = this.identifier;
 				this.identifier = 0;
+				this.lapsedIdentifier = this.resuming ? lapsed : 0;
 				this.nextSendAt = now;
 			}
 			if (now - this.nextSendAt < 0) {
@@ -109,13 +125,39 @@
 			}
 			this.nextSendAt = now + this.timeToLive.dividedBy(RENEWALS_PER_LIFE).toNanos();
 			current = this.identifier;
+			former = this.lapsedIdentifier;
 		}
 		if (lapsed != 0) {
 			this.log.accept(Event.named("lease.lapsed").with("lease", lapsed));
 			this.listeners.forEach(Runnable::run);
-			this.store.revokeLease(lapsed).exceptionally((failure) -> null);
+			if (!this.resuming) {
+				this.store.revokeLease(lapsed).exceptionally((failure) -> null);
+			}
+		}
+		if (current != 0) {
+			return renew(current, now);
 		}
-		return (current != 0) ? renew(current, now) : grant(now);
+		return (former != 0) ? resume(former, now) : grant(now);
+	}
+
+	private CompletableFuture<Void> resume(long former, long sentAt) {
+		return this.store.keepAlive(former).thenAccept((remaining) -> {
+			long until = sentAt + Math.min(remaining.toNanos(), this.timeToLive.toNanos());
+			synchronized (this) {
+				if (this.lapsedIdentifier != former || this.closed) {
+					return;
+				}
+				this.lapsedIdentifier = 0;
+				if (this.clock.nanoseconds() - until >= 0) {
+					this.nextSendAt = this.clock.nanoseconds();
+					return;
+				}
+				this.identifier = former;
+				this.validUntil = until;
+			}
+			this.log.accept(Event.named("lease.resumed").with("lease", former));
+			this.listeners.forEach(Runnable::run);
+		}).exceptionally((failure) -> retrySoon());
 	}
 
 	private CompletableFuture<Void> grant(long sentAt) {
@@ -166,8 +208,9 @@
 	public CompletableFuture<Void> release() {
 		long current;
 		synchronized (this) {
-			current = this.identifier;
+			current = (this.identifier != 0) ? this.identifier : this.lapsedIdentifier;
 			this.identifier = 0;
+			this.lapsedIdentifier = 0;
 			this.closed = true;
 		}
 		this.listeners.forEach(Runnable::run);
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -126,7 +126,8 @@
 		Members.Member self = new Members.Member(incarnation, settings.instance(),
 				settings.peers().host() + ":" + settings.peers().port(), settings.failureDomain());
 		MonotonicClock leaseClock = SuspensionAwareClock.ofSystem();
-		this.lease = new DaemonLease(ports.store(), leaseClock, Duration.ofMillis(LEASE_MILLISECONDS), EventLog::info);
+		this.lease = DaemonLease.resuming(ports.store(), leaseClock, Duration.ofMillis(LEASE_MILLISECONDS),
+				EventLog::info);
 		PeerChannel channel = PeerChannel.Disabled.INSTANCE;
 		this.members = new LeasedMembers(ports.store(), channel, this.clock, this.lease, self, List.of(), Set::of);
 		this.memberView = PrefixView.watching(ports.store(), this.clock, LeasedMembers.PREFIX, LISTING);
