The log leaves out what goes well before it leaves out a failure, and says so

The asynchronous appender dropped any line when its queue was full and told nobody. SheddingAppender never blocks either, leaves out lines of requests that go well once half of the queue is taken, and counts what it leaves out; tested with an output that takes nothing. Refusals for a grant say whose, at what level, rate, burst and peers.

--- a/serving/src/main/java/org/masticshelf/serving/grant/SharedGrants.java
+++ b/serving/src/main/java/org/masticshelf/serving/grant/SharedGrants.java
@@ -122,6 +122,20 @@
 		return Math.max(1, grant.millisecondsUntil(now, cost));
 	}
 
+	/**
+	 * Tells how the grant of an organisation stands, for the log.
+	 * @param organisation the organisation
+	 * @return its level, rate and burst, and how many peers share it
+	 */
+	public synchronized String describe(@Nullable ServedOrganisation organisation) {
+		SharedGrant grant = grantOf(organisation);
+		if (grant == null || organisation == null) {
+			return "unlimited";
+		}
+		return "level %.0f, rate %.0f, burst %.0f, peers %d".formatted(grant.level(this.clock.milliseconds()),
+				organisation.ratePerSecond(), organisation.burst(), this.peers.size());
+	}
+
 	/**
 	 * Gives back what was spent for a request that did not run.
 	 * @param organisation the organisation, {@code null} for a request without one
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -150,6 +150,11 @@
 		this.cost = (payer != null) ? payer.cost(this.request.tokens()) : 0;
 		long missing = this.context.grants().spend(payer, this.cost);
 		if (missing > 0) {
+			this.context.log()
+				.accept(event("request.over_grant").with("organisation", (payer != null) ? payer.name() : "none")
+					.with("cost", (long) this.cost)
+					.with("grant", this.context.grants().describe(payer))
+					.with("tables", tables.version()));
 			refuse(TOO_MANY, "grant_used_up", missing);
 			return false;
 		}
--- /dev/null
+++ b/transport/src/test/java/org/masticshelf/transport/log/SheddingAppenderTests.java
@@ -0,0 +1,103 @@
+package org.masticshelf.transport.log;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.AppenderBase;
+import com.google.common.truth.Truth;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests {@link SheddingAppender} with an output that takes nothing until it is released.
+ */
+class SheddingAppenderTests {
+
+	private static final int QUEUE_SIZE = 100;
+
+	private final LoggerContext context = new LoggerContext();
+
+	private final BlockedOutput output = new BlockedOutput();
+
+	private final SheddingAppender appender = new SheddingAppender();
+
+	private final Logger logger = this.context.getLogger("tested");
+
+	@BeforeEach
+	void start() {
+		this.context.setMDCAdapter(new LogbackMDCAdapter());
+		this.output.setContext(this.context);
+		this.output.start();
+		this.appender.setContext(this.context);
+		this.appender.setQueueSize(QUEUE_SIZE);
+		this.appender.addAppender(this.output);
+		this.appender.start();
+		this.logger.addAppender(this.appender);
+	}
+
+	private List<String> released() {
+		this.output.released.countDown();
+		this.appender.stop();
+		return this.output.lines;
+	}
+
+	@Test
+	void keepsRefusalsAndLeavesOutWhatGoesWellWhileTheOutputIsBlocked() {
+		for (int number = 0; number < 10 * QUEUE_SIZE; number++) {
+			this.logger.info("event=request.admitted id=" + number);
+			this.logger.info("event=request.ended id=" + number + " outcome=served status=200");
+		}
+		for (int number = 0; number < QUEUE_SIZE / 4; number++) {
+			this.logger.info("event=request.ended id=" + number + " outcome=refused_no_endpoint status=503");
+		}
+		List<String> lines = released();
+		Truth.assertThat(lines.stream().filter((line) -> line.contains("refused_no_endpoint")).count())
+			.isEqualTo(QUEUE_SIZE / 4);
+		Truth.assertThat(lines.stream().filter((line) -> line.startsWith("event=request.admitted")).count())
+			.isLessThan(QUEUE_SIZE);
+	}
+
+	@Test
+	void saysHowManyLinesWereLeftOut() throws InterruptedException {
+		int given = 20 * QUEUE_SIZE;
+		for (int number = 0; number < given; number++) {
+			this.logger.info("event=request.refused id=" + number + " status=503");
+		}
+		this.output.released.countDown();
+		while (this.appender.getNumberOfElementsInQueue() > 0) {
+			Thread.onSpinWait();
+		}
+		this.logger.info("event=request.refused id=last status=503");
+		List<String> lines = released();
+		long kept = lines.stream().filter((line) -> line.startsWith("event=request.refused")).count();
+		Truth.assertThat(lines).contains("event=log.left_out routine=0 others=" + (given + 1 - kept));
+	}
+
+	/** An output that blocks its writer until it is released. */
+	private static final class BlockedOutput extends AppenderBase<ILoggingEvent> {
+
+		private final CountDownLatch released = new CountDownLatch(1);
+
+		private final List<String> lines = new CopyOnWriteArrayList<>();
+
+		@Override
+		protected void append(ILoggingEvent event) {
+			try {
+				this.released.await();
+			}
+			catch (InterruptedException ex) {
+				// The appender interrupts its thread when it is stopped; what is queued
+				// is written all the same.
+				Thread.currentThread().interrupt();
+			}
+			this.lines.add(event.getFormattedMessage());
+		}
+
+	}
+
+}
