What can still meet its objective is loaded first; engines behind a cut do not count

Change 1: what waits says how long it has until its objective; loads that can still be in time go first, the most urgent before the others, then the rest by age. Change 2: engines of a silent failure domain neither get orders nor count. modelBehindCutIsLoadedOnThisSide fails without it.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -26,12 +26,14 @@
  * engine holds. Busy ones precede the others and count also while nobody waits, because
  * callers with a short objective are refused for as long as no copy is due; the others
  * are those that somebody waits for, first what an engine has at hand and last what only
- * the weight store has. Further copies of busy models come next, in failure domains that
- * have none, and last, while nobody asks for anything, copies on disk of models that no
- * engine has at hand. Room is made by unloading what has been idle for longest, never a
- * model that has requests running or waiting unless it has copies to spare, and never the
- * only copy of a busy model for one that is not. Slow loads keep away from engines whose
- * adapters are asked for.
+ * the weight store has. While more rare models are asked for than can be loaded, oldest
+ * first would make all of them late: what can still meet its objective goes first, the
+ * most urgent before the others, and what has missed it follows by age. Further copies of
+ * busy models come next, in failure domains that have none, and last, while nobody asks
+ * for anything, copies on disk of models that no engine has at hand. Room is made by
+ * unloading what has been idle for longest, never a model that has requests running or
+ * waiting unless it has copies to spare, and never the only copy of a busy model for one
+ * that is not. Slow loads keep away from engines whose adapters are asked for.
  * <p>
  * One planner makes one plan and is then thrown away. Not safe for use by several
  * threads.
@@ -65,6 +67,11 @@
 
 	private static final long ADAPTER_MILLISECONDS = 50;
 
+	/**
+	 * How long an engine takes from the end of a load to the first piece of an answer.
+	 */
+	private static final long BEGIN_MILLISECONDS = 150;
+
 	private final ResidencyFacts facts;
 
 	private final List<Step> steps = new ArrayList<>();
@@ -140,17 +147,18 @@
 		for (WaitingDemand demand : this.facts.waiting()) {
 			String model = demand.loadable().model();
 			if (!this.copies.containsKey(model) && this.facts.models().containsKey(model)) {
-				missing.merge(model, demand, ResidencyPlanner::join);
+				missing.merge(model, demand, (left, right) -> left.with(right, Loadable.model(model)));
 			}
 		}
 		for (String model : this.facts.requestsPerSecond().keySet()) {
 			if (isBusy(model) && !this.copies.containsKey(model) && this.facts.models().containsKey(model)) {
-				missing.putIfAbsent(model, new WaitingDemand(Loadable.model(model), 0, 0));
+				missing.putIfAbsent(model, new WaitingDemand(Loadable.model(model), 0, 0, 0));
 			}
 		}
 		List<WaitingDemand> ordered = new ArrayList<>(missing.values());
 		ordered.sort(Comparator.<WaitingDemand>comparingDouble((demand) -> -busyRate(demand.loadable().model()))
 			.thenComparingInt((demand) -> this.atHand.contains(demand.loadable().model()) ? 0 : 1)
+			.thenComparingLong(this::slack)
 			.thenComparing(Comparator.comparingLong(WaitingDemand::oldestMilliseconds).reversed())
 			.thenComparing((demand) -> demand.loadable().model()));
 		for (WaitingDemand demand : ordered) {
@@ -166,9 +174,12 @@
 		return isBusy(model) ? this.room.rate(model) : 0;
 	}
 
-	private static WaitingDemand join(WaitingDemand left, WaitingDemand right) {
-		return new WaitingDemand(Loadable.model(left.loadable().model()), left.count() + right.count(),
-				Math.max(left.oldestMilliseconds(), right.oldestMilliseconds()));
+	// How much time a load has until it would come too late for the objective; what comes
+	// too late anyway is last.
+	private long slack(WaitingDemand demand) {
+		long left = demand.objectiveMilliseconds() - profile(demand.loadable().model()).diskMilliseconds()
+				- BEGIN_MILLISECONDS;
+		return (left >= 0) ? left : Long.MAX_VALUE;
 	}
 
 	private void planAdapters() {
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -21,6 +21,8 @@
 
 	private static final double MEGABYTES = 300;
 
+	private static final long OBJECTIVE = 4_000;
+
 	private final Map<String, ModelProfile> models = new HashMap<>();
 
 	private final List<Engine> engines = new ArrayList<>();
@@ -63,7 +65,7 @@
 	}
 
 	private void waitsFor(String loadable, long milliseconds) {
-		this.waiting.add(new WaitingDemand(Loadable.parse(loadable), 1, milliseconds));
+		this.waiting.add(new WaitingDemand(Loadable.parse(loadable), 1, milliseconds, OBJECTIVE - milliseconds));
 	}
 
 	private static Step.Load load(String endpoint, String model, Step.Source source, String... victims) {
@@ -186,6 +188,20 @@
 		Truth.assertThat(plan().steps()).containsExactly(load("one", "busy", Step.Source.DISK));
 	}
 
+	/**
+	 * Load pattern: a burst for rare models, more than can be loaded in time.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "9000, 100, young", "3000, 100, young", "2000, 100, old", "9000, 5000, old" })
+	void whatCanStillMeetItsObjectiveIsLoadedFirst(long oldWaited, long youngWaited, String first) {
+		model("old", 0);
+		model("young", 0);
+		engine("one", Map.of(), Set.of("old", "young"));
+		waitsFor("old", oldWaited);
+		waitsFor("young", youngWaited);
+		Truth.assertThat(plan().steps()).containsExactly(load("one", first, Step.Source.DISK));
+	}
+
 	@Test
 	void modelThatWasAskedForOnceIsNotLoadedForNobody() {
 		model("rare", 0);
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -136,7 +136,8 @@
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
 		Duty duty = this.duties.compete(DUTY_TO_PLACE);
-		this.placement = new Placement(duty, ports.orders(), this.directory, this::tables, this::demand, this.clock,
+		this.placement = new Placement(duty, new Placement.Access(ports.orders(), this.directory, this.loads::isSilent),
+				this::tables, this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
 		this.peers = new PeerTalk(new PeerTalk.Parts(this.members, duty, this.board, this.grants, this.loads,
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -58,9 +58,11 @@
 	 * @param loadable the model or adapter
 	 * @param count how many
 	 * @param oldest how long the oldest has waited, milliseconds
+	 * @param objective how long until the latency objective of the one that has most of
+	 * it left, milliseconds, negative once all have missed theirs
 	 */
 	@JsonIgnoreProperties(ignoreUnknown = true)
-	public record Waiting(String pool, String loadable, int count, long oldest) {
+	public record Waiting(String pool, String loadable, int count, long oldest, long objective) {
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -56,9 +57,7 @@
 
 	private final Duty duty;
 
-	private final EngineOrders orders;
-
-	private final EndpointDirectory directory;
+	private final Access access;
 
 	private final Supplier<@Nullable ServedTables> tables;
 
@@ -91,8 +90,7 @@
 	/**
 	 * Creates a placement that does nothing until {@link #start()}.
 	 * @param duty the duty to place
-	 * @param orders gives orders to engines
-	 * @param directory the endpoints
+	 * @param access the way to the engines
 	 * @param tables returns the tables in force
 	 * @param demand returns what is asked for
 	 * @param clock the clock
@@ -100,19 +98,17 @@
 	 * @param log receives the events
 	 * @param onChange run when what engines hold or when models are ready has changed
 	 */
-	public Placement(Duty duty, EngineOrders orders, EndpointDirectory directory,
-			Supplier<@Nullable ServedTables> tables, Supplier<Demand> demand, MonotonicClock clock, Settings settings,
-			Consumer<Event> log, Runnable onChange) {
+	public Placement(Duty duty, Access access, Supplier<@Nullable ServedTables> tables, Supplier<Demand> demand,
+			MonotonicClock clock, Settings settings, Consumer<Event> log, Runnable onChange) {
 		this.duty = duty;
-		this.orders = orders;
-		this.directory = directory;
+		this.access = access;
 		this.tables = tables;
 		this.demand = demand;
 		this.clock = clock;
 		this.settings = settings;
 		this.log = log;
 		this.onChange = onChange;
-		this.execution = new StepExecution(this, orders, clock, settings.holder(), log, this::announceChange);
+		this.execution = new StepExecution(this, access.orders(), clock, settings.holder(), log, this::announceChange);
 	}
 
 	/** Begins to plan, on a thread of its own. */
@@ -246,7 +242,7 @@
 			if (pool.engine() == null) {
 				continue;
 			}
-			for (ServedEndpoint endpoint : this.directory.of(pool.name())) {
+			for (ServedEndpoint endpoint : this.access.directory().of(pool.name())) {
 				present.add(endpoint.identifier());
 				EngineState state = this.engines.get(endpoint.identifier());
 				if (state == null || !state.endpoint().isSameRun(endpoint)) {
@@ -282,7 +278,8 @@
 				storeLoads++;
 				nextStoreLoad = Math.min(nextStoreLoad, engine.freeInMilliseconds());
 			}
-			if (state.isKnown()) {
+			// What engines behind a cut hold is of no use to the callers on this side.
+			if (state.isKnown() && !this.access.cutOff().test(state.endpoint())) {
 				usable.add(engine);
 			}
 			complete &= state.isKnown();
@@ -334,6 +331,16 @@
 		}
 	}
 
+	/**
+	 * The way to the engines.
+	 *
+	 * @param orders gives orders to engines
+	 * @param directory the endpoints
+	 * @param cutOff whether an endpoint may be cut off with its failure domain
+	 */
+	public record Access(EngineOrders orders, EndpointDirectory directory, Predicate<ServedEndpoint> cutOff) {
+	}
+
 	/**
 	 * Bounds of placing.
 	 *
@@ -359,10 +366,9 @@
 			Map<String, WaitingDemand> sums = new HashMap<>();
 			for (PeerMessage.Waiting one : this.waiting) {
 				if (one.pool().equals(pool)) {
-					WaitingDemand fresh = new WaitingDemand(Loadable.parse(one.loadable()), one.count(), one.oldest());
-					sums.merge(one.loadable(), fresh,
-							(left, right) -> new WaitingDemand(left.loadable(), left.count() + right.count(),
-									Math.max(left.oldestMilliseconds(), right.oldestMilliseconds())));
+					WaitingDemand fresh = new WaitingDemand(Loadable.parse(one.loadable()), one.count(), one.oldest(),
+							one.objective());
+					sums.merge(one.loadable(), fresh, (left, right) -> left.with(right, left.loadable()));
 				}
 			}
 			return new ArrayList<>(sums.values());
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -27,8 +27,11 @@
  */
 final class StepExecution {
 
-	/** How long after a conflict with an unload the order is given again. */
-	private static final long CONFLICT_MILLISECONDS = 50;
+	/**
+	 * How long after a conflict with an unload, or after no answer, an order is given
+	 * again.
+	 */
+	private static final long AGAIN_MILLISECONDS = 50;
 
 	private static final long DISK_SLACK_MILLISECONDS = 25;
 
@@ -172,7 +175,7 @@
 	private OrderAnswer giveWhileBusy(EngineState state, boolean load, Loadable loadable, Duty.Tenure tenure) {
 		OrderAnswer answer = give(state, load, loadable, tenure);
 		for (int attempt = 0; isToBeGivenAgain(answer) && attempt < MAXIMUM_CONFLICTS; attempt++) {
-			pause((answer == OrderAnswer.CONFLICT) ? CONFLICT_MILLISECONDS : 1);
+			pause(AGAIN_MILLISECONDS);
 			answer = give(state, load, loadable, tenure);
 		}
 		return answer;
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -142,10 +142,6 @@
 		}
 		this.pool = served.name();
 		this.engine = served.engine();
-		Loadable loadable = this.request.loadable();
-		if (loadable != null && this.engine != null) {
-			this.context.rates().asked(this.pool, loadable.model());
-		}
 		ServedOrganisation payer = this.organisation;
 		this.cost = (payer != null) ? payer.cost(this.request.tokens()) : 0;
 		long missing = this.context.grants().spend(payer, this.cost);
@@ -158,6 +154,10 @@
 			refuse(TOO_MANY, "grant_used_up", missing);
 			return false;
 		}
+		Loadable loadable = loadable();
+		if (loadable != null) {
+			this.context.rates().asked(this.pool, loadable.model());
+		}
 		this.context.retries().requested(this.pool);
 		this.context.log()
 			.accept(event("request.admitted").with("route", found.name())
@@ -214,7 +214,8 @@
 					}
 					case WaitDecision.Wait wait -> {
 						if (ticket == null) {
-							ticket = this.context.waitingRoom().enter(this.pool, loadable());
+							ticket = this.context.waitingRoom()
+								.enter(this.pool, loadable(), route().objectiveMilliseconds() - elapsed());
 							this.context.log()
 								.accept(event("request.waiting").with("loadable", loadable()).with("ready_in", ready));
 						}
--- a/serving/src/main/java/org/masticshelf/serving/request/WaitingRoom.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/WaitingRoom.java
@@ -74,10 +74,11 @@
 	 * Begins to wait.
 	 * @param pool the pool
 	 * @param loadable the model or adapter, {@code null} for a plain call
+	 * @param objectiveMilliseconds how long until the request's latency objective
 	 * @return the place in the room, to be given back by {@link #leave}
 	 */
-	public Ticket enter(String pool, @Nullable Loadable loadable) {
-		Ticket ticket = new Ticket(pool, loadable);
+	public Ticket enter(String pool, @Nullable Loadable loadable, long objectiveMilliseconds) {
+		Ticket ticket = new Ticket(pool, loadable, this.clock.milliseconds() + objectiveMilliseconds);
 		this.lock.lock();
 		try {
 			this.waiting.put(ticket, this.clock.milliseconds());
@@ -152,7 +153,7 @@
 			this.waiting.forEach((ticket, since) -> {
 				if (ticket.loadable != null) {
 					PeerMessage.Waiting one = new PeerMessage.Waiting(ticket.pool, ticket.loadable.toString(), 1,
-							now - since);
+							now - since, ticket.objectiveAt - now);
 					sums.merge(ticket.pool + " " + ticket.loadable, one, WaitingRoom::join);
 				}
 			});
@@ -165,7 +166,7 @@
 
 	private static PeerMessage.Waiting join(PeerMessage.Waiting left, PeerMessage.Waiting right) {
 		return new PeerMessage.Waiting(left.pool(), left.loadable(), left.count() + right.count(),
-				Math.max(left.oldest(), right.oldest()));
+				Math.max(left.oldest(), right.oldest()), Math.max(left.objective(), right.objective()));
 	}
 
 	/** The place of one request in the room. */
@@ -175,9 +176,12 @@
 
 		private final @Nullable Loadable loadable;
 
-		private Ticket(String pool, @Nullable Loadable loadable) {
+		private final long objectiveAt;
+
+		private Ticket(String pool, @Nullable Loadable loadable, long objectiveAt) {
 			this.pool = pool;
 			this.loadable = loadable;
+			this.objectiveAt = objectiveAt;
 		}
 
 	}
--- a/serving/src/test/java/org/masticshelf/serving/peer/PeerBoardTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerBoardTests.java
@@ -71,7 +71,7 @@
 	@Test
 	void messageKeepsItsFormAndLeavesEmptyPartsOut() {
 		PeerMessage sent = new PeerMessage("a", "127.0.0.1:1", 7, Map.of("org", 2.5), Map.of(),
-				List.of(new PeerMessage.Waiting("pool", "m/a1", 2, 30)), Map.of(), placement(3, 40));
+				List.of(new PeerMessage.Waiting("pool", "m/a1", 2, 30, 470)), Map.of(), placement(3, 40));
 		byte[] bytes = Json.toBytes(sent);
 		Truth.assertThat(Json.toValue(bytes, PeerMessage.class)).isEqualTo(sent);
 		Truth.assertThat(Json.toTree(bytes).has("running")).isFalse();
--- a/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
@@ -50,6 +50,8 @@
 
 	private volatile Placement.Demand demand = new Placement.Demand(List.of(), Map.of(), Map.of());
 
+	private volatile String cutOff = "none";
+
 	private @Nullable Placement placement;
 
 	private FakeEngines start(long seed, double unanswered) {
@@ -70,8 +72,9 @@
 					ServedEndpoint.Holdings.NONE));
 		}
 		this.directory.replace(endpoints);
-		this.placement = new Placement(this.duty, engines, this.directory, () -> tables, () -> this.demand, this.clock,
-				new Placement.Settings("self", 0, 2), this::log, () -> {
+		this.placement = new Placement(this.duty,
+				new Placement.Access(engines, this.directory, (endpoint) -> endpoint.identifier().equals(this.cutOff)),
+				() -> tables, () -> this.demand, this.clock, new Placement.Settings("self", 0, 2), this::log, () -> {
 				});
 		this.placement.start();
 		return engines;
@@ -89,7 +92,8 @@
 	}
 
 	private void waitFor(String model) {
-		this.demand = new Placement.Demand(List.of(new PeerMessage.Waiting("pool", model, 1, 10)), Map.of(), Map.of());
+		this.demand = new Placement.Demand(List.of(new PeerMessage.Waiting("pool", model, 1, 10, 3_990)), Map.of(),
+				Map.of());
 	}
 
 	private static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
@@ -113,6 +117,33 @@
 		Truth.assertThat(engines.taken().getFirst().fencing()).isEqualTo(5);
 	}
 
+	/** Load pattern: a failure domain is cut off, with the only copy of a model. */
+	@Test
+	void modelBehindCutIsLoadedOnThisSide() throws Exception {
+		FakeEngines engines = start(1, 0);
+		this.duty.gain(5);
+		waitFor("m3");
+		awaitTrue(() -> announces("m3"));
+		String holding = holding("m3");
+		this.cutOff = holding;
+		awaitTrue(() -> !holding("m3").equals(holding));
+		Truth.assertThat(engines.taken()).hasSize(2);
+	}
+
+	private String holding(String model) {
+		Placement running = this.placement;
+		PeerMessage.Placement announced = (running != null) ? running.announcement(true) : null;
+		if (announced == null) {
+			return this.cutOff;
+		}
+		return announced.engines()
+			.stream()
+			.filter((engine) -> engine.loaded().containsKey(model) && !engine.endpoint().equals(this.cutOff))
+			.map(PeerMessage.Engine::endpoint)
+			.findFirst()
+			.orElse(this.cutOff);
+	}
+
 	private boolean announces(String model) {
 		Placement running = this.placement;
 		PeerMessage.Placement announced = (running != null) ? running.announcement(true) : null;
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -60,6 +60,8 @@
 
 	private final PeerBoard board = new PeerBoard(this.clock);
 
+	private final ModelRates rates = new ModelRates(this.clock);
+
 	private final WaitingRoom waitingRoom = new WaitingRoom(this.clock, () -> {
 	});
 
@@ -117,8 +119,8 @@
 		ServedRequest request = new ServedRequest("r", "POST", "/a/b?c", "host", key, 2_000, loadable, 10, 10, "", null,
 				List.of(new Header("Id", "r")), "body".getBytes(StandardCharsets.UTF_8));
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
-				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRoom,
-				new ModelRates(this.clock), new RetryBudgets(), this.board, "domain", () -> this.phase, this.clock,
+				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRoom, this.rates,
+				new RetryBudgets(), this.board, "domain", () -> this.phase, this.clock,
 				new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, this.caller, System.nanoTime()).run();
 	}
@@ -283,6 +285,16 @@
 		Truth.assertThat(arrivals()).isEqualTo(0);
 	}
 
+	/** Load pattern: an organisation sends many times its rate for one model. */
+	@ParameterizedTest
+	@CsvSource({ "0.001, 0", "0, 1" })
+	void onlyWhatTheGrantCoversIsDemandForItsModel(double rate, int counted) throws IOException {
+		route(Execution.STREAM, 1, engine(), List.of(new ServedOrganisation("org", null, true, rate, 1, 1)));
+		list(endpoint("a", WHOLE).toEndpoint("m"));
+		send(Loadable.model("m"), "key");
+		Truth.assertThat(this.rates.perSecond()).hasSize(counted);
+	}
+
 	@Test
 	void refusesAtOnceWhatCannotBeReadyInTime() throws IOException {
 		route(Execution.STREAM, 1, engine(), List.of());
