A daemon that starts ends the lease of its instance's run before

Only one process listens at an address at a time, so that a run before is over. Test restartedInstanceEndsTheLeaseOfItsRunBefore fails without.

--- a/control/src/main/java/org/masticshelf/control/membership/LeasedMembers.java
+++ b/control/src/main/java/org/masticshelf/control/membership/LeasedMembers.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,6 +63,8 @@
 
 	private final Map<String, Heard> heard = new LinkedHashMap<>();
 
+	private final Set<Long> endedLeases = new HashSet<>();
+
 	private @Nullable PrefixView view;
 
 	private @Nullable Long greetedAt;
@@ -151,6 +154,7 @@
 			this.heard.values().removeIf((one) -> isLongAgo(one.at(), HEARD_MILLISECONDS));
 		}
 		refresh();
+		endRunsBefore();
 		if (current == 0) {
 			return greet();
 		}
@@ -165,6 +169,40 @@
 			.handle((outcome, failure) -> announced(current, outcome != null));
 	}
 
+	// Only one process at a time can listen at an address, so that an earlier run of this
+	// instance there is over. Its lease would keep its duties from others until it ends.
+	private void endRunsBefore() {
+		PrefixView copy;
+		synchronized (this) {
+			copy = this.view;
+		}
+		if (copy == null) {
+			return;
+		}
+		for (KeyValueStore.Entry entry : copy.entries()) {
+			Member member = read(entry.value());
+			if (member != null && isRunBefore(member) && entry.lease() != 0 && isEndedFirst(entry.lease())) {
+				this.store.revokeLease(entry.lease()).exceptionally((failure) -> {
+					endAgain(entry.lease());
+					return null;
+				});
+			}
+		}
+	}
+
+	private boolean isRunBefore(Member member) {
+		return member.instance().equals(this.self.instance()) && member.address().equals(this.self.address())
+				&& !member.incarnation().equals(this.self.incarnation());
+	}
+
+	private synchronized boolean isEndedFirst(long ended) {
+		return this.endedLeases.add(ended);
+	}
+
+	private synchronized void endAgain(long ended) {
+		this.endedLeases.remove(ended);
+	}
+
 	private synchronized @Nullable Void announced(long current, boolean done) {
 		this.announcedLease = done ? current : this.announcedLease;
 		this.announcingLease = 0;
--- a/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
+++ b/control/src/test/java/org/masticshelf/control/duty/DutyFleet.java
@@ -57,7 +57,8 @@
 	 * @return the daemon
 	 */
 	public Daemon add() {
-		Daemon daemon = new Daemon(this.incarnations++);
+		int number = this.incarnations++;
+		Daemon daemon = new Daemon(number, number);
 		this.daemons.add(daemon);
 		return daemon;
 	}
@@ -105,6 +106,18 @@
 		this.peers.leave(daemon.members.self().address());
 	}
 
+	/**
+	 * Kills a daemon and starts its instance again at the same address.
+	 * @param daemon the daemon
+	 * @return the new daemon
+	 */
+	public Daemon restart(Daemon daemon) {
+		kill(daemon);
+		Daemon again = new Daemon(this.incarnations++, daemon.number);
+		this.daemons.add(again);
+		return again;
+	}
+
 	/**
 	 * Returns the daemons that hold a duty now.
 	 * @param duty the name of the duty
@@ -133,8 +146,11 @@
 
 		private final PrefixView dutyView;
 
-		private Daemon(int number) {
-			Members.Member self = new Members.Member("incarnation-%03d".formatted(number), "instance-" + number,
+		private final int number;
+
+		private Daemon(int incarnation, int number) {
+			this.number = number;
+			Members.Member self = new Members.Member("incarnation-%03d".formatted(incarnation), "instance-" + number,
 					"127.0.0.1:" + (10_000 + number), "domain-" + number % 3);
 			MonotonicClock clock = DutyFleet.this.clock;
 			InMemoryPeers.Peer channel = DutyFleet.this.peers.join(self.address());
--- a/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
+++ b/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
@@ -117,6 +117,16 @@
 		Truth.assertThat(fencing()).isGreaterThan(fencing);
 	}
 
+	@Test
+	void restartedInstanceEndsTheLeaseOfItsRunBefore() {
+		DutyFleet.Daemon killed = holder();
+		long fencing = fencing();
+		this.fleet.restart(killed).duties.compete(DUTY);
+		this.fleet.steps(HANDOVER_ROUNDS + 1);
+		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
+		Truth.assertThat(fencing()).isGreaterThan(fencing);
+	}
+
 	@Test
 	void dutyThatWasTakenOverIsNotTakenAway() {
 		DutyFleet.Daemon old = holder();
