--- a/systemtests/src/test/java/org/masticshelf/systemtests/KeyValueOutageTests.java
+++ b/systemtests/src/test/java/org/masticshelf/systemtests/KeyValueOutageTests.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.truth.Truth;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import org.masticshelf.kernel.configuration.OrganisationKey;
@@ -41,7 +40,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void warmRequestsGoOnAfterTheServiceHasReturned() {
 		try (FleetFixture fleet = FleetFixture.builder("returned").start()) {
 			warm(fleet.daemons);
