--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/AdapterPlan.java
@@ -0,0 +1,114 @@
+package org.masticshelf.kernel.residency;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.serving.Loadable;
+import org.masticshelf.kernel.serving.ModelProfile;
+
+/**
+ * Plans loads of adapters whose models are held, and makes room for them.
+ * <p>
+ * Load pattern: many adapters of a few busy models are asked for one after the other,
+ * while engines load other models and take no order for an adapter. An adapter goes to
+ * the engine that is free soonest; a full engine gives up the adapter that has been idle
+ * for longest.
+ * <p>
+ * Invariant: each engine gets one step at most, and is marked as taken by it. Not safe
+ * for use by several threads.
+ */
+final class AdapterPlan {
+
+	/** How long an adapter takes until it serves, orders and their answers included. */
+	static final long LOAD_MILLISECONDS = 50;
+
+	/** An adapter that was used more recently than this makes no room, milliseconds. */
+	static final long IN_USE_MILLISECONDS = 300;
+
+	private final ResidencyFacts facts;
+
+	private final EngineRoom room;
+
+	private final Set<String> taken;
+
+	AdapterPlan(ResidencyFacts facts, EngineRoom room, Set<String> taken) {
+		this.facts = facts;
+		this.room = room;
+		this.taken = taken;
+	}
+
+	/**
+	 * Adds the steps for all adapters that somebody waits for.
+	 * @param steps gets the steps
+	 * @param readyIn gets when each adapter will be ready, milliseconds
+	 */
+	void addTo(List<Step> steps, Map<String, Long> readyIn) {
+		for (WaitingDemand demand : this.facts.waiting()) {
+			String adapter = demand.loadable().adapter();
+			if (adapter != null) {
+				add(demand.loadable(), adapter, steps, readyIn);
+			}
+		}
+	}
+
+	private void add(Loadable loadable, String adapter, List<Step> steps, Map<String, Long> readyIn) {
+		Engine best = null;
+		for (Engine engine : this.facts.engines()) {
+			Engine.Resident resident = engine.loaded().get(loadable.model());
+			if (resident == null) {
+				continue;
+			}
+			if (resident.adapters().containsKey(adapter)) {
+				readyIn.put(loadable.toString(), LOAD_MILLISECONDS);
+				return;
+			}
+			if (best == null || isBetter(engine, best)) {
+				best = engine;
+			}
+		}
+		if (best == null) {
+			return;
+		}
+		readyIn.put(loadable.toString(), best.freeInMilliseconds() + LOAD_MILLISECONDS);
+		if (best.freeInMilliseconds() == 0 && this.taken.add(best.identifier())) {
+			Step step = step(best, loadable);
+			if (step != null) {
+				steps.add(step);
+			}
+		}
+	}
+
+	private static boolean isBetter(Engine engine, Engine other) {
+		return (engine.freeInMilliseconds() != other.freeInMilliseconds())
+				? engine.freeInMilliseconds() < other.freeInMilliseconds()
+				: engine.adapterCount() < other.adapterCount();
+	}
+
+	private @Nullable Step step(Engine engine, Loadable loadable) {
+		ModelProfile profile = this.facts.models().get(loadable.model());
+		double size = (profile != null) ? profile.adapterMegabytes() : 0;
+		if (engine.adapterCount() < engine.adapterSlots() && this.room.freeMegabytes(engine) >= size) {
+			return new Step.Load(engine.identifier(), loadable, Step.Source.STORE, LOAD_MILLISECONDS, List.of());
+		}
+		Loadable idle = idlest(engine);
+		return (idle != null) ? new Step.Unload(engine.identifier(), idle) : null;
+	}
+
+	private static @Nullable Loadable idlest(Engine engine) {
+		Loadable idlest = null;
+		long longest = IN_USE_MILLISECONDS;
+		for (Map.Entry<String, Engine.Resident> resident : engine.loaded().entrySet()) {
+			for (Map.Entry<String, Long> adapter : resident.getValue().adapters().entrySet()) {
+				if (adapter.getValue() > longest) {
+					longest = adapter.getValue();
+					idlest = new Loadable(resident.getKey(), adapter.getKey());
+				}
+			}
+		}
+		return idlest;
+	}
+
+}
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/EngineRoom.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/EngineRoom.java
@@ -24,6 +24,12 @@
 	/** Requests a second above which a model has a second copy to survive a loss. */
 	static final double REQUESTS_FOR_SPARE = 1.5;
 
+	/**
+	 * Requests a second from which on a model is busy: within the time of a load from
+	 * disk and its wait more than one caller asks for it.
+	 */
+	static final double REQUESTS_OF_BUSY_MODEL = 1;
+
 	private static final double SPARE_COPY_VALUE = 0.01;
 
 	private final ResidencyFacts facts;
@@ -47,6 +53,15 @@
 		return this.facts.requestsPerSecond().getOrDefault(model, 0.0);
 	}
 
+	/**
+	 * Returns whether a model is one of the busy ones.
+	 * @param model the model
+	 * @return whether it is asked for often
+	 */
+	boolean isBusy(String model) {
+		return rate(model) >= REQUESTS_OF_BUSY_MODEL;
+	}
+
 	/**
 	 * Returns how many copies of a model are wanted for the rate at which it is asked
 	 * for.
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -22,18 +22,14 @@
  * engine's own disk or memory are fast. Each engine carries out one model order at a
  * time, and takes no order for an adapter meanwhile.
  * <p>
- * Adapters that somebody waits for come first, as they load at once; then models that no
- * engine holds. Busy ones precede the others and count also while nobody waits, because
- * callers with a short objective are refused for as long as no copy is due; the others
- * are those that somebody waits for, first what an engine has at hand and last what only
- * the weight store has. While more rare models are asked for than can be loaded, oldest
- * first would make all of them late: what can still meet its objective goes first, the
- * most urgent before the others, and what has missed it follows by age. Further copies of
- * busy models come next, in failure domains that have none, and last, while nobody asks
- * for anything, copies on disk of models that no engine has at hand. Room is made by
- * unloading what has been idle for longest, never a model that has requests running or
- * waiting unless it has copies to spare, and never the only copy of a busy model for one
- * that is not. Slow loads keep away from engines whose adapters are asked for.
+ * Adapters that somebody waits for come first ({@link AdapterPlan}), as they load at
+ * once; then models that no engine holds, in the order of {@link MissingModels}. Further
+ * copies of busy models come next, in failure domains that have none, and last, while
+ * nobody asks for anything, copies on disk of models that no engine has at hand. Room is
+ * made by unloading what has been idle for longest, never a model that has requests
+ * running or waiting unless it has copies to spare, and never the only copy of a busy
+ * model for one that is not. Slow loads keep away from engines whose adapters are asked
+ * for.
  * <p>
  * One planner makes one plan and is then thrown away. Not safe for use by several
  * threads.
@@ -45,33 +41,17 @@
 	 */
 	static final double REQUESTS_FOR_STORE_LOAD = 9;
 
-	/**
-	 * Requests a second from which on a model is busy: within the time of a load from
-	 * disk and its wait more than one caller asks for it.
-	 */
-	static final double REQUESTS_OF_BUSY_MODEL = 1;
-
 	/**
 	 * What a further copy in a failure domain that has one counts: the time of a load
 	 * from disk, for which one in another domain is waited for.
 	 */
 	static final long SAME_DOMAIN_MILLISECONDS = 2_000;
 
-	/** An adapter that was used more recently than this makes no room, milliseconds. */
-	static final long ADAPTER_IN_USE_MILLISECONDS = 300;
-
 	/** Adapter models' requests a second that keep slow loads away from an engine. */
 	static final double REQUESTS_KEPT_FREE = 2;
 
 	private static final long UNLOAD_MILLISECONDS = 100;
 
-	private static final long ADAPTER_MILLISECONDS = 50;
-
-	/**
-	 * How long an engine takes from the end of a load to the first piece of an answer.
-	 */
-	private static final long BEGIN_MILLISECONDS = 150;
-
 	private final ResidencyFacts facts;
 
 	private final List<Step> steps = new ArrayList<>();
@@ -134,7 +114,7 @@
 	 */
 	public static ResidencyPlan plan(ResidencyFacts facts) {
 		ResidencyPlanner planner = new ResidencyPlanner(facts);
-		planner.planAdapters();
+		new AdapterPlan(facts, planner.room, planner.taken).addTo(planner.steps, planner.readyIn);
 		planner.planMissingModels();
 		planner.estimateAdaptersOfMissingModels();
 		planner.planCopies();
@@ -143,103 +123,9 @@
 	}
 
 	private void planMissingModels() {
-		Map<String, WaitingDemand> missing = new HashMap<>();
-		for (WaitingDemand demand : this.facts.waiting()) {
-			String model = demand.loadable().model();
-			if (!this.copies.containsKey(model) && this.facts.models().containsKey(model)) {
-				missing.merge(model, demand, (left, right) -> left.with(right, Loadable.model(model)));
-			}
-		}
-		for (String model : this.facts.requestsPerSecond().keySet()) {
-			if (isBusy(model) && !this.copies.containsKey(model) && this.facts.models().containsKey(model)) {
-				missing.putIfAbsent(model, new WaitingDemand(Loadable.model(model), 0, 0, 0));
-			}
-		}
-		List<WaitingDemand> ordered = new ArrayList<>(missing.values());
-		ordered.sort(Comparator.<WaitingDemand>comparingDouble((demand) -> -busyRate(demand.loadable().model()))
-			.thenComparingInt((demand) -> this.atHand.contains(demand.loadable().model()) ? 0 : 1)
-			.thenComparingLong(this::slack)
-			.thenComparing(Comparator.comparingLong(WaitingDemand::oldestMilliseconds).reversed())
-			.thenComparing((demand) -> demand.loadable().model()));
-		for (WaitingDemand demand : ordered) {
-			place(profile(demand.loadable().model()), Reason.WAITED_FOR);
-		}
-	}
-
-	private boolean isBusy(String model) {
-		return this.room.rate(model) >= REQUESTS_OF_BUSY_MODEL;
-	}
-
-	private double busyRate(String model) {
-		return isBusy(model) ? this.room.rate(model) : 0;
-	}
-
-	// How much time a load has until it would come too late for the objective; what comes
-	// too late anyway is last.
-	private long slack(WaitingDemand demand) {
-		long left = demand.objectiveMilliseconds() - profile(demand.loadable().model()).diskMilliseconds()
-				- BEGIN_MILLISECONDS;
-		return (left >= 0) ? left : Long.MAX_VALUE;
-	}
-
-	private void planAdapters() {
-		for (WaitingDemand demand : this.facts.waiting()) {
-			String adapter = demand.loadable().adapter();
-			if (adapter != null) {
-				planAdapter(demand.loadable(), adapter);
-			}
-		}
-	}
-
-	private void planAdapter(Loadable loadable, String adapter) {
-		Engine best = null;
-		for (Engine engine : this.facts.engines()) {
-			Engine.Resident resident = engine.loaded().get(loadable.model());
-			if (resident == null) {
-				continue;
-			}
-			if (resident.adapters().containsKey(adapter)) {
-				this.readyIn.put(loadable.toString(), ADAPTER_MILLISECONDS);
-				return;
-			}
-			if (best == null || engine.freeInMilliseconds() < best.freeInMilliseconds()
-					|| (engine.freeInMilliseconds() == best.freeInMilliseconds()
-							&& engine.adapterCount() < best.adapterCount())) {
-				best = engine;
-			}
-		}
-		if (best == null) {
-			return;
-		}
-		this.readyIn.put(loadable.toString(), best.freeInMilliseconds() + ADAPTER_MILLISECONDS);
-		if (best.freeInMilliseconds() > 0 || !this.taken.add(best.identifier())) {
-			return;
-		}
-		ModelProfile profile = this.facts.models().get(loadable.model());
-		double size = (profile != null) ? profile.adapterMegabytes() : 0;
-		if (best.adapterCount() < best.adapterSlots() && this.room.freeMegabytes(best) >= size) {
-			this.steps
-				.add(new Step.Load(best.identifier(), loadable, Step.Source.STORE, ADAPTER_MILLISECONDS, List.of()));
-			return;
-		}
-		Loadable idle = idlestAdapter(best);
-		if (idle != null) {
-			this.steps.add(new Step.Unload(best.identifier(), idle));
-		}
-	}
-
-	private static @Nullable Loadable idlestAdapter(Engine engine) {
-		Loadable idlest = null;
-		long longest = ADAPTER_IN_USE_MILLISECONDS;
-		for (Map.Entry<String, Engine.Resident> resident : engine.loaded().entrySet()) {
-			for (Map.Entry<String, Long> adapter : resident.getValue().adapters().entrySet()) {
-				if (adapter.getValue() > longest) {
-					longest = adapter.getValue();
-					idlest = new Loadable(resident.getKey(), adapter.getKey());
-				}
-			}
+		for (String model : new MissingModels(this.facts, this.room, this.copies.keySet(), this.atHand).inOrder()) {
+			place(profile(model), Reason.WAITED_FOR);
 		}
-		return idlest;
 	}
 
 	// Adapters of a model that is not loaded yet are ready soon after it.
@@ -247,7 +133,7 @@
 		for (WaitingDemand demand : this.facts.waiting()) {
 			Long model = this.readyIn.get(demand.loadable().model());
 			if (demand.loadable().adapter() != null && model != null) {
-				this.readyIn.putIfAbsent(demand.loadable().toString(), model + ADAPTER_MILLISECONDS);
+				this.readyIn.putIfAbsent(demand.loadable().toString(), model + AdapterPlan.LOAD_MILLISECONDS);
 			}
 		}
 	}
@@ -266,8 +152,7 @@
 
 	// While nobody asks for anything, models that no engine has at hand are fetched once,
 	// those that requests with adapters may ask for first. Once there are requests, a
-	// slow
-	// load would keep an engine from the fast ones that they need.
+	// slow load would keep an engine from the fast ones that they need.
 	private void planCopiesOnDisk() {
 		boolean anybodyAsks = !this.facts.waiting().isEmpty() || !this.facts.requestsPerSecond().isEmpty();
 		if (!this.facts.complete() || anybodyAsks) {
@@ -371,7 +256,7 @@
 		if (reason == Reason.ANTICIPATED) {
 			return false;
 		}
-		return !isBusy(victim) || isBusy(profile.name()) || this.copies.getOrDefault(victim, 1) > 1;
+		return !this.room.isBusy(victim) || this.room.isBusy(profile.name()) || this.copies.getOrDefault(victim, 1) > 1;
 	}
 
 	private double highestLoss(ModelProfile profile, Reason reason) {
