Admission parted from Forwarding

No change of behaviour: whether a request may run is decided by Admission, whose outcome is a value; Forwarding keeps where it runs.

--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -7,20 +7,17 @@
 
 import org.masticshelf.kernel.admission.WaitDecision;
 import org.masticshelf.kernel.event.Event;
-import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.Loadable;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedOrganisation;
-import org.masticshelf.kernel.serving.ServedPool;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
-import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.serving.caller.CallerChannel;
 import org.masticshelf.serving.upstream.EndpointProtocol.Passage;
 
 /**
- * The way of one request: which route and organisation, whether it may run, where, and
- * what its caller is told.
+ * The way of one request that was read: where it runs once {@link Admission} has let it
+ * in, and what its caller is told.
  * <p>
  * Invariants: a status that promises that the request did not run is given only if no
  * sending may have run it; a request that is not repeatable is sent again only after an
@@ -48,14 +45,6 @@
 	/** What a caller is told to wait for before it asks another daemon. */
 	private static final long RETRY_ELSEWHERE_MILLISECONDS = 50;
 
-	private static final long RETRY_WITHOUT_TABLES_MILLISECONDS = 300;
-
-	private static final int NOT_FOUND = 404;
-
-	private static final int UNAUTHORIZED = 401;
-
-	private static final int TOO_MANY = 429;
-
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int UNAVAILABLE = 503;
@@ -74,15 +63,7 @@
 
 	private final Set<String> avoided = new HashSet<>();
 
-	private @Nullable ServedRoute route;
-
-	private @Nullable ServedOrganisation organisation;
-
-	private String pool = "";
-
-	private @Nullable EngineProfile engine;
-
-	private double cost;
+	private Admission.@Nullable Admitted admitted;
 
 	private boolean mayHaveRun;
 
@@ -109,64 +90,14 @@
 			refuse(UNAVAILABLE, "stopping", RETRY_ELSEWHERE_MILLISECONDS);
 			return;
 		}
-		if (admit()) {
-			serve();
-		}
-	}
-
-	private boolean admit() {
-		ServedTables tables = this.context.tables().get();
-		if (tables == null) {
-			refuse(UNAVAILABLE, "no_tables", RETRY_WITHOUT_TABLES_MILLISECONDS);
-			return false;
-		}
-		ServedRoute found = tables.route(this.request.host(), this.request.path());
-		if (found == null) {
-			refuse(NOT_FOUND, "no_route", 0);
-			return false;
-		}
-		this.route = found;
-		String key = this.request.key();
-		if (tables.areKeysNeeded() && !found.open()) {
-			this.organisation = (key != null) ? tables.organisation(key) : null;
-			if (this.organisation == null) {
-				refuse(UNAUTHORIZED, "unknown_key", 0);
-				return false;
+		switch (new Admission(this.context, this.request, this::event).decide()) {
+			case Admission.Refused refused ->
+				refuse(refused.status(), refused.reason(), refused.retryAfterMilliseconds());
+			case Admission.Admitted accepted -> {
+				this.admitted = accepted;
+				serve();
 			}
 		}
-		String chosen = found.pool(this.request.identifier().hashCode());
-		ServedPool served = (chosen != null) ? tables.pool(chosen) : null;
-		if (served == null) {
-			refuse(UNAVAILABLE, "no_pool", RETRY_WITHOUT_TABLES_MILLISECONDS);
-			return false;
-		}
-		this.pool = served.name();
-		this.engine = served.engine();
-		ServedOrganisation payer = this.organisation;
-		this.cost = (payer != null) ? payer.cost(this.request.tokens()) : 0;
-		long missing = this.context.grants().spend(payer, this.cost);
-		if (missing > 0) {
-			this.context.log()
-				.accept(event("request.over_grant").with("organisation", (payer != null) ? payer.name() : "none")
-					.with("cost", (long) this.cost)
-					.with("grant", this.context.grants().describe(payer))
-					.with("tables", tables.version()));
-			refuse(TOO_MANY, "grant_used_up", missing);
-			return false;
-		}
-		Loadable loadable = loadable();
-		if (loadable != null) {
-			this.context.rates().asked(this.pool, loadable.model());
-		}
-		this.context.retries().requested(this.pool);
-		this.context.log()
-			.accept(event("request.admitted").with("route", found.name())
-				.with("tables", tables.version())
-				.with("organisation", (payer != null) ? payer.name() : "none")
-				.with("pool", this.pool)
-				.with("loadable", loadable)
-				.with("cost", (long) this.cost));
-		return true;
 	}
 
 	private void serve() {
@@ -200,7 +131,8 @@
 					stopWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
-				ServedEndpoint endpoint = new EndpointChoice(this.context, this.request, this.pool, this.engine)
+				ServedEndpoint endpoint = new EndpointChoice(this.context, this.request, pool(),
+						admitted().pool().engine())
 					.choose(this.avoided);
 				if (endpoint != null) {
 					return endpoint;
@@ -215,7 +147,7 @@
 					case WaitDecision.Wait wait -> {
 						if (ticket == null) {
 							ticket = this.context.waitingRoom()
-								.enter(this.pool, loadable(), route().objectiveMilliseconds() - elapsed());
+								.enter(pool(), loadable(), route().objectiveMilliseconds() - elapsed());
 							this.context.log()
 								.accept(event("request.waiting").with("loadable", loadable()).with("ready_in", ready));
 						}
@@ -232,12 +164,12 @@
 	}
 
 	private @Nullable Loadable loadable() {
-		return (this.engine != null) ? this.request.loadable() : null;
+		return (admitted().pool().engine() != null) ? this.request.loadable() : null;
 	}
 
 	private long readyIn() {
 		Loadable loadable = loadable();
-		return (loadable != null) ? this.context.peers().readyIn(this.pool, loadable) : -1;
+		return (loadable != null) ? this.context.peers().readyIn(pool(), loadable) : -1;
 	}
 
 	private long tokens() {
@@ -245,7 +177,7 @@
 	}
 
 	private ExchangeResult send(ServedEndpoint endpoint) {
-		ServedOrganisation payer = this.organisation;
+		ServedOrganisation payer = admitted().organisation();
 		ServedRoute used = route();
 		this.sendings++;
 		this.context.log()
@@ -255,7 +187,7 @@
 				.with("left_ms", left())
 				.with("requests_there", this.context.loads().view(endpoint).own())
 				.with("resume_after", this.relay.lastIdentifier()));
-		this.context.metrics().sent(this.pool);
+		this.context.metrics().sent(pool());
 		int priority = (payer != null && payer.priority() != null) ? payer.priority() : used.priority();
 		Passage passage = new Passage(this.request, endpoint, (payer != null) ? payer.name() : null, priority, left(),
 				this.relay.lastIdentifier());
@@ -281,7 +213,7 @@
 		return switch (result) {
 			case ExchangeResult.Streamed streamed -> {
 				this.context.loads().answered(endpoint, true);
-				this.context.retries().exchanged(this.pool, true);
+				this.context.retries().exchanged(pool(), true);
 				yield ended("served", 200);
 			}
 			case ExchangeResult.Answered answered -> afterAnswer(endpoint, answered);
@@ -297,12 +229,12 @@
 	private boolean afterAnswer(ServedEndpoint endpoint, ExchangeResult.Answered answered) {
 		boolean failed = answered.status() >= 500;
 		this.context.loads().answered(endpoint, !failed);
-		this.context.retries().exchanged(this.pool, true);
+		this.context.retries().exchanged(pool(), true);
 		this.arrivals++;
 		if (failed) {
 			this.mayHaveRun = true;
 			this.avoided.add(endpoint.identifier());
-			if (mayRepeat() && this.context.retries().tryTake(this.pool)) {
+			if (mayRepeat() && this.context.retries().tryTake(pool())) {
 				return true;
 			}
 		}
@@ -332,7 +264,7 @@
 				.with("lacking", notRun.lacking()));
 		this.avoided.add(endpoint.identifier());
 		boolean another = this.arrivals < route().maximumAttempts();
-		if (another && this.context.retries().tryTake(this.pool)) {
+		if (another && this.context.retries().tryTake(pool())) {
 			return true;
 		}
 		return stopAfterFailure(true);
@@ -348,7 +280,7 @@
 		else {
 			broke(endpoint, lost.reason());
 		}
-		if (left() > BEGIN_MILLISECONDS && mayRepeat() && this.context.retries().tryTake(this.pool)) {
+		if (left() > BEGIN_MILLISECONDS && mayRepeat() && this.context.retries().tryTake(pool())) {
 			return true;
 		}
 		return stopAfterFailure(!lost.timedOut());
@@ -356,14 +288,14 @@
 
 	private void stayedSilent(ServedEndpoint endpoint) {
 		long time = this.context.loads().stayedSilent(endpoint);
-		this.context.retries().exchanged(this.pool, false);
+		this.context.retries().exchanged(pool(), false);
 		this.context.log()
 			.accept(event("request.exchange_silent").with("endpoint", endpoint.identifier()).with("ejected_ms", time));
 	}
 
 	private void broke(ServedEndpoint endpoint, String reason) {
 		long time = this.context.loads().broke(endpoint);
-		this.context.retries().exchanged(this.pool, false);
+		this.context.retries().exchanged(pool(), false);
 		this.context.log()
 			.accept(event("request.exchange_failed").with("endpoint", endpoint.identifier())
 				.with("reason", reason)
@@ -390,7 +322,7 @@
 
 	private void giveBackUnlessSent() {
 		if (!this.mayHaveRun) {
-			this.context.grants().giveBack(this.organisation, this.cost);
+			this.context.grants().giveBack(admitted().organisation(), admitted().cost());
 		}
 	}
 
@@ -420,14 +352,22 @@
 		return this.reply.event(name);
 	}
 
-	private ServedRoute route() {
-		ServedRoute found = this.route;
+	private Admission.Admitted admitted() {
+		Admission.Admitted found = this.admitted;
 		if (found == null) {
 			throw new IllegalStateException("the request was not admitted");
 		}
 		return found;
 	}
 
+	private ServedRoute route() {
+		return admitted().route();
+	}
+
+	private String pool() {
+		return admitted().pool().name();
+	}
+
 	private long elapsed() {
 		return this.reply.elapsed();
 	}
@@ -469,7 +409,7 @@
 
 		private boolean canMoveOn() {
 			return route().execution().isRepeatable() && Forwarding.this.arrivals + 1 < route().maximumAttempts()
-					&& Forwarding.this.context.directory().holding(Forwarding.this.pool, loadable()).size() > 1;
+					&& Forwarding.this.context.directory().holding(pool(), loadable()).size() > 1;
 		}
 
 	}
