--- a/control/src/main/java/org/masticshelf/control/membership/LeasedMembers.java
+++ b/control/src/main/java/org/masticshelf/control/membership/LeasedMembers.java
@@ -110,6 +110,7 @@
 			this.view = value;
 		}
 		value.addListener(this::refresh);
+		value.addListener(this::endRunsBefore);
 		return this;
 	}
 
@@ -149,12 +150,16 @@
 	 */
 	public CompletableFuture<Void> round() {
 		long current = this.lease.held();
+		boolean forgotten;
 		synchronized (this) {
 			this.rounds++;
-			this.heard.values().removeIf((one) -> isLongAgo(one.at(), HEARD_MILLISECONDS));
+			forgotten = this.heard.values().removeIf((one) -> isLongAgo(one.at(), HEARD_MILLISECONDS));
+		}
+		// Changes of the copy are heard of; reading all its entries each round costs
+		// processor time that grows with the fleet.
+		if (forgotten) {
+			refresh();
 		}
-		refresh();
-		endRunsBefore();
 		if (current == 0) {
 			return greet();
 		}
