--- a/control/src/main/java/org/masticshelf/control/duty/DaemonLease.java
+++ b/control/src/main/java/org/masticshelf/control/duty/DaemonLease.java
@@ -18,8 +18,8 @@
  * <p>
  * Invariant: the lease counts as held only until its time to live after the last
  * successful renewal was <em>sent</em>, so it ends here before it ends in the service. A
- * lease that was not held for an instant is never held again; a new one takes its place.
- * Safe for use by several threads.
+ * lease that was not held for an instant is held again only if it resumes and the service
+ * has renewed it; else a new one takes its place. Safe for use by several threads.
  */
 public final class DaemonLease {
 
@@ -140,6 +140,7 @@
 		return (former != 0) ? resume(former, now) : grant(now);
 	}
 
+	// The answer tells zero if the service has ended the lease; a new one follows.
 	private CompletableFuture<Void> resume(long former, long sentAt) {
 		return this.store.keepAlive(former).thenAccept((remaining) -> {
 			long until = sentAt + Math.min(remaining.toNanos(), this.timeToLive.toNanos());
