An engine that answers counts also when its failure domain's daemons are silent

Cause, seen in reading the diff: engines of a silent failure domain no longer counted, but a failure domain is silent also when its only daemon stops or is killed, for up to ten seconds, while its engines serve on. Their models would be loaded once more elsewhere. Change: such engines are asked for a report each 0.3 s and are left out only while the last one was not answered. Test engineThatAnswersCountsAlsoInSilentFailureDomain fails without; modelBehindCutIsLoadedOnThisSide holds.

--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
@@ -94,6 +94,19 @@
 		return first;
 	}
 
+	/** Notes that a report was answered. */
+	void reportSeen() {
+		this.reportMissed = false;
+	}
+
+	/**
+	 * Returns whether the last report that was asked for was not answered.
+	 * @return whether it was missed
+	 */
+	boolean isReportMissed() {
+		return this.reportMissed;
+	}
+
 	/** Notes that an order may or may not have been taken. */
 	void doubt() {
 		this.known = false;
@@ -118,7 +131,6 @@
 		if (report.ordersTaken() < this.ordersTaken && !settled) {
 			return false;
 		}
-		this.reportMissed = false;
 		this.ordersTaken = report.ordersTaken();
 		Map<String, Set<String>> before = new HashMap<>(this.loaded);
 		this.loaded.clear();
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -55,6 +55,9 @@
 
 	private static final long REPORT_IN_DOUBT_MILLISECONDS = 100;
 
+	/** Soon enough to find out within a second which engines a cut has left in reach. */
+	private static final long REPORT_ACROSS_CUT_MILLISECONDS = 300;
+
 	private final Duty duty;
 
 	private final Access access;
@@ -251,7 +254,8 @@
 					this.newEngineAt = now;
 				}
 				boolean idle = state.modelStep() == null && !state.isOrderOpen();
-				long interval = state.isKnown() ? REPORT_MILLISECONDS : REPORT_IN_DOUBT_MILLISECONDS;
+				long interval = !state.isKnown() ? REPORT_IN_DOUBT_MILLISECONDS
+						: this.access.cutOff().test(endpoint) ? REPORT_ACROSS_CUT_MILLISECONDS : REPORT_MILLISECONDS;
 				if (idle && state.isReportDue(now, interval)) {
 					EngineState reporting = state;
 					actions.add(() -> readReport(reporting));
@@ -278,8 +282,7 @@
 				storeLoads++;
 				nextStoreLoad = Math.min(nextStoreLoad, engine.freeInMilliseconds());
 			}
-			// What engines behind a cut hold is of no use to the callers on this side.
-			if (state.isKnown() && !this.access.cutOff().test(state.endpoint())) {
+			if (state.isKnown() && !isCutOff(state)) {
 				usable.add(engine);
 			}
 			complete &= state.isKnown();
@@ -298,6 +301,13 @@
 		}
 	}
 
+	// What engines behind a cut hold is of no use to the callers on this side. The
+	// daemons
+	// of a failure domain may also have stopped while its engines go on.
+	private boolean isCutOff(EngineState state) {
+		return this.access.cutOff().test(state.endpoint()) && state.isReportMissed();
+	}
+
 	private void begin(EngineState state, Step step, Duty.Tenure tenure, long now, List<Runnable> actions) {
 		if (state.modelStep() != null || state.isOrderOpen()) {
 			return;
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -283,7 +283,10 @@
 	 */
 	@Nullable EngineReport report(EngineState state) {
 		try {
-			return this.orders.report(state.endpoint()).get(CALL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+			EngineReport report = this.orders.report(state.endpoint())
+				.get(CALL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+			state.reportSeen();
+			return report;
 		}
 		catch (ExecutionException | TimeoutException ex) {
 			if (state.missedReport()) {
--- a/serving/src/test/java/org/masticshelf/serving/placement/FakeEngines.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/FakeEngines.java
@@ -39,6 +39,8 @@
 
 	private double unanswered;
 
+	private int reports;
+
 	FakeEngines(Map<String, Double> megabytes, double capacity, long seed) {
 		this.megabytes = megabytes;
 		this.capacity = capacity;
@@ -50,6 +52,11 @@
 		this.unanswered = share;
 	}
 
+	/** Has an engine answer nothing any more. */
+	synchronized void cutOff(String endpoint) {
+		engine(endpoint).cutOff = true;
+	}
+
 	/** Has an engine answer nothing any more once it has taken a load. */
 	synchronized void crashAfterLoad(String endpoint) {
 		engine(endpoint).crashes = true;
@@ -99,7 +106,8 @@
 	@Override
 	public synchronized CompletableFuture<EngineReport> report(ServedEndpoint endpoint) {
 		Engine engine = engine(endpoint.identifier());
-		if (engine.crashes && engine.orders > 0) {
+		this.reports++;
+		if (engine.cutOff || (engine.crashes && engine.orders > 0)) {
 			return CompletableFuture.failedFuture(new IllegalStateException("connection refused"));
 		}
 		engine.settle();
@@ -119,6 +127,10 @@
 			.anyMatch((engine) -> engine.loaded.contains(model) && !(engine.crashes && engine.orders > 0));
 	}
 
+	synchronized int reports() {
+		return this.reports;
+	}
+
 	/** Returns what no engine should have been ordered. */
 	synchronized Set<String> mistakes() {
 		return Set.copyOf(this.mistakes);
@@ -139,6 +151,8 @@
 
 		private boolean crashes;
 
+		private boolean cutOff;
+
 		private void settle() {
 			if (this.busyUntil > 0 && System.nanoTime() - this.busyUntil >= 0) {
 				this.busyUntil = 0;
--- a/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
@@ -125,11 +125,28 @@
 		waitFor("m3");
 		awaitTrue(() -> announces("m3"));
 		String holding = holding("m3");
+		engines.cutOff(holding);
 		this.cutOff = holding;
 		awaitTrue(() -> !holding("m3").equals(holding));
 		Truth.assertThat(engines.taken()).hasSize(2);
 	}
 
+	/**
+	 * Load pattern: the only daemon of a failure domain stops, and the engines there go
+	 * on.
+	 */
+	@Test
+	void engineThatAnswersCountsAlsoInSilentFailureDomain() throws Exception {
+		FakeEngines engines = start(1, 0);
+		this.duty.gain(5);
+		waitFor("m3");
+		awaitTrue(() -> announces("m3"));
+		this.cutOff = holding("m3");
+		int reports = engines.reports();
+		awaitTrue(() -> engines.reports() > reports + 10);
+		Truth.assertThat(engines.taken()).hasSize(1);
+	}
+
 	private String holding(String model) {
 		Placement running = this.placement;
 		PeerMessage.Placement announced = (running != null) ? running.announcement(true) : null;
