Exchanges with endpoints are bounded by progress, not by silence

Cause: a timeout counted from the last byte. An endpoint that sends a byte now and then, or interim answers without end, kept an exchange for ever; a stalled resumable stream with stray bytes or comments was never resumed; an event without end grew without bound. Besides, a second copy of a refusal was taken for the answer to the same request when it was sent again on that connection. Change: a head has to be complete within its timeout, at most 64 KiB and after at most 8 interim answers; an event has at most 1 MiB; the timeout of a stream runs from its last event with a field; a request goes on a new connection to an endpoint that refused it before.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -14,6 +14,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.serving.caller.CallerChannel;
+import org.masticshelf.serving.request.EventSplitter.StreamEvent;
 import org.masticshelf.serving.upstream.AnswerHead;
 import org.masticshelf.serving.upstream.EndpointConnection;
 import org.masticshelf.serving.upstream.EndpointConnections;
@@ -51,7 +52,7 @@
 
 	private final CallerChannel caller;
 
-	private final boolean suspect;
+	private final ConnectionChoice choice;
 
 	/**
 	 * Creates an exchange.
@@ -60,12 +61,11 @@
 	 * @param outbound the request and the endpoint to send it to
 	 * @param limits the timeouts
 	 * @param caller the caller; the exchange ends when it disconnects
-	 * @param suspect whether the endpoint may be partitioned off, in which case a new
-	 * connection is opened to test it
+	 * @param choice which connection to use
 	 */
 	EndpointExchange(EndpointConnections connections, EndpointProtocol protocol, OutboundRequest outbound,
-			Limits limits, CallerChannel caller, boolean suspect) {
-		this.suspect = suspect;
+			Limits limits, CallerChannel caller, ConnectionChoice choice) {
+		this.choice = choice;
 		this.connections = connections;
 		this.protocol = protocol;
 		this.outbound = outbound;
@@ -80,10 +80,11 @@
 	 */
 	ExchangeResult run(StreamRelay relay) {
 		ServedEndpoint endpoint = this.outbound.endpoint();
-		EndpointConnection connection = this.suspect ? null : this.connections.takeIdle(endpoint);
+		EndpointConnection connection = (this.choice == ConnectionChoice.POOLED) ? this.connections.takeIdle(endpoint)
+				: null;
 		if (connection == null) {
 			try {
-				connection = this.connections.open(endpoint, this.suspect);
+				connection = this.connections.open(endpoint, this.choice == ConnectionChoice.PROBING);
 			}
 			catch (IOException ex) {
 				return new ExchangeResult.Unreached(String.valueOf(ex.getMessage()));
@@ -175,13 +176,18 @@
 		EventSplitter splitter = new EventSplitter();
 		List<Header> headers = forwardedHeaders(answer);
 		byte[] buffer = new byte[BUFFER_BYTES];
+		this.limits.recordProgress();
 		while (true) {
 			int count = connection.read(buffer,
 					relay.isStarted() ? this.limits.gapMilliseconds() : this.limits.firstByteMilliseconds());
 			if (count < 0) {
 				break;
 			}
-			relay.forward(headers, splitter.add(buffer, count));
+			List<StreamEvent> events = splitter.add(buffer, count);
+			if (events.stream().anyMatch(StreamEvent::hasField)) {
+				this.limits.recordProgress();
+			}
+			relay.forward(headers, events);
 		}
 		if (splitter.hasPartialEvent()) {
 			throw new IOException("the stream ended within an event");
@@ -223,21 +229,45 @@
 		return forwarded;
 	}
 
+	/** Which connection an exchange uses. */
+	enum ConnectionChoice {
+
+		/** An idle connection if there is one. */
+		POOLED,
+
+		/**
+		 * A new connection, because the endpoint has refused this request before: a
+		 * second copy of that refusal would be taken for the answer, as it names the same
+		 * request.
+		 */
+		NEW,
+
+		/** A new connection that tests whether the endpoint is partitioned off. */
+		PROBING
+
+	}
+
 	/** Timeouts of an exchange, queried before each wait. */
 	interface Limits {
 
 		/**
-		 * Returns the timeout for the first byte of an answer or stream.
-		 * @return milliseconds from now
+		 * Returns the timeout for the head of an answer or the first event of a stream.
+		 * @return milliseconds from now, negative if it has passed
 		 */
 		long firstByteMilliseconds();
 
 		/**
-		 * Returns the timeout for the next byte of a stream.
-		 * @return milliseconds from now
+		 * Returns the timeout for the next event of a stream.
+		 * @return milliseconds from now, negative if it has passed
 		 */
 		long gapMilliseconds();
 
+		/**
+		 * Records that the head of an answer or an event has arrived. Bytes that complete
+		 * neither do not extend a timeout.
+		 */
+		void recordProgress();
+
 		/**
 		 * Returns the time that is left for the whole exchange.
 		 * @return milliseconds from now
--- a/serving/src/main/java/org/masticshelf/serving/request/EventSplitter.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EventSplitter.java
@@ -1,6 +1,7 @@
 package org.masticshelf.serving.request;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,13 +12,17 @@
  * Splits the bytes of a stream into complete events, each including its terminating empty
  * line.
  * <p>
- * Invariant: the returned events and the buffered remainder together are exactly the
- * bytes that were added. Not thread-safe.
+ * Invariants: the returned events and the buffered remainder together are exactly the
+ * bytes that were added; the remainder is bounded. Not thread-safe.
  */
 final class EventSplitter {
 
 	private static final String IDENTIFIER_FIELD = "id:";
 
+	private static final String COMMENT = ":";
+
+	private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
 	private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
 
 	private int lineBytes;
@@ -27,8 +32,9 @@
 	 * @param bytes a buffer with bytes of the stream
 	 * @param count the number of bytes to add
 	 * @return the completed events
+	 * @throws IOException if an event is longer than any that endpoints send
 	 */
-	List<StreamEvent> add(byte[] bytes, int count) {
+	List<StreamEvent> add(byte[] bytes, int count) throws IOException {
 		List<StreamEvent> events = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
 			byte next = bytes[index];
@@ -44,6 +50,9 @@
 				this.lineBytes++;
 			}
 		}
+		if (this.partialEvent.size() > MAXIMUM_EVENT_BYTES) {
+			throw new IOException("an event above " + MAXIMUM_EVENT_BYTES + " bytes");
+		}
 		return events;
 	}
 
@@ -60,16 +69,21 @@
 	 *
 	 * @param bytes the event as it arrived
 	 * @param identifier its identifier, {@code null} if it has none
+	 * @param hasField whether it has a field; an event of comments only keeps a
+	 * connection open
 	 */
-	record StreamEvent(byte[] bytes, @Nullable String identifier) {
+	record StreamEvent(byte[] bytes, @Nullable String identifier, boolean hasField) {
 
 		private static StreamEvent of(byte[] bytes) {
+			String identifier = null;
+			boolean hasField = false;
 			for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
-				if (line.startsWith(IDENTIFIER_FIELD)) {
-					return new StreamEvent(bytes, line.substring(IDENTIFIER_FIELD.length()).strip());
+				hasField |= !line.isEmpty() && !line.startsWith(COMMENT);
+				if (identifier == null && line.startsWith(IDENTIFIER_FIELD)) {
+					identifier = line.substring(IDENTIFIER_FIELD.length()).strip();
 				}
 			}
-			return new StreamEvent(bytes, null);
+			return new StreamEvent(bytes, identifier, hasField);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -13,6 +13,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.caller.CallerChannel;
+import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
 /**
@@ -203,7 +204,7 @@
 		this.context.loads().recordStart(endpoint, loadable(), tokens());
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(), this.caller, this.context.loads().isInSilentDomain(endpoint))
+					new RouteLimits(elapsed()), this.caller, chooseConnection(endpoint))
 				.run(this.relay);
 		}
 		finally {
@@ -212,6 +213,13 @@
 		}
 	}
 
+	private ConnectionChoice chooseConnection(ServedEndpoint endpoint) {
+		if (this.context.loads().isInSilentDomain(endpoint)) {
+			return ConnectionChoice.PROBING;
+		}
+		return this.avoidedEndpoints.contains(endpoint.identifier()) ? ConnectionChoice.NEW : ConnectionChoice.POOLED;
+	}
+
 	/**
 	 * Handles the result of sending the request to an endpoint.
 	 * @param endpoint the endpoint
@@ -400,6 +408,17 @@
 	 */
 	private final class RouteLimits implements EndpointExchange.Limits {
 
+		private long progressAt;
+
+		private RouteLimits(long sentAt) {
+			this.progressAt = sentAt;
+		}
+
+		@Override
+		public void recordProgress() {
+			this.progressAt = elapsed();
+		}
+
 		@Override
 		public long firstByteMilliseconds() {
 			if (!canTryAnother()) {
@@ -407,13 +426,17 @@
 			}
 			long silence = route().execution().isStreamed() ? route().objectiveMilliseconds() : Math
 				.max(MINIMUM_SILENCE_MILLISECONDS, SILENCE_LATENCY_OBJECTIVES * route().objectiveMilliseconds());
-			return Math.min(remaining(), silence);
+			return Math.min(remaining(), silence - withoutProgress());
 		}
 
 		@Override
 		public long gapMilliseconds() {
-			return canTryAnother() ? Math.min(remaining(), SILENCE_GAP_OBJECTIVES * route().gapObjectiveMilliseconds())
-					: remaining();
+			long silence = SILENCE_GAP_OBJECTIVES * route().gapObjectiveMilliseconds();
+			return canTryAnother() ? Math.min(remaining(), silence - withoutProgress()) : remaining();
+		}
+
+		private long withoutProgress() {
+			return elapsed() - this.progressAt;
 		}
 
 		@Override
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnection.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -14,6 +15,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 
@@ -24,9 +26,10 @@
  * <p>
  * Answers are parsed strictly: a length that is not a number, two different lengths, a
  * chunk that does not end where it should, or more bytes than announced fail the exchange
- * or make the connection unusable for another one. Invariant: the connection carries one
- * exchange at a time. Not thread-safe, except that {@link #handOver()} may be called by
- * any thread.
+ * or make the connection unusable for another one. Invariants: the connection carries one
+ * exchange at a time; a head is read within bounded memory and within its timeout,
+ * however its bytes are spread over time. Not thread-safe, except that {@link #close()}
+ * may be called by any thread.
  */
 public final class EndpointConnection implements Closeable {
 
@@ -34,12 +37,22 @@
 
 	private static final int MAXIMUM_HEADERS = 128;
 
+	/** The maximum size of a status line with its headers, or of a body's trailers. */
+	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
+
+	/** Interim answers that may precede the final one. */
+	private static final int MAXIMUM_INTERIM_ANSWERS = 8;
+
 	private static final int BUFFER_BYTES = 8 * 1024;
 
 	private final SocketChannel channel;
 
 	private final InputStream input;
 
+	private long readUntilNanoseconds;
+
+	private int headBytes;
+
 	private boolean reusable = true;
 
 	private long remaining;
@@ -50,7 +63,7 @@
 
 	private EndpointConnection(SocketChannel channel) throws IOException {
 		this.channel = channel;
-		this.input = new BufferedInputStream(channel.socket().getInputStream(), BUFFER_BYTES);
+		this.input = new BufferedInputStream(new TimedInput(channel.socket().getInputStream()), BUFFER_BYTES);
 	}
 
 	/**
@@ -113,15 +126,16 @@
 
 	/**
 	 * Reads the status and headers of the next answer, skipping interim answers.
-	 * @param timeoutMilliseconds the timeout of each read
+	 * @param timeoutMilliseconds the time in which the head has to be complete
 	 * @return the head
-	 * @throws SocketTimeoutException if a read timed out
+	 * @throws SocketTimeoutException if the head was not complete in time
 	 * @throws IOException if the connection ended or the answer is malformed
 	 */
 	public AnswerHead readHead(long timeoutMilliseconds) throws IOException {
 		this.reusable = false;
 		setTimeout(timeoutMilliseconds);
-		while (true) {
+		for (int interimAnswers = 0; interimAnswers <= MAXIMUM_INTERIM_ANSWERS; interimAnswers++) {
+			this.headBytes = 0;
 			int status = parseStatus(readLine());
 			List<Header> headers = readHeaders();
 			if (status >= 200) {
@@ -131,6 +145,7 @@
 				throw new UpstreamException("switching protocols was not asked for");
 			}
 		}
+		throw new UpstreamException("more than " + MAXIMUM_INTERIM_ANSWERS + " interim answers");
 	}
 
 	private static int parseStatus(String line) throws UpstreamException {
@@ -173,6 +188,9 @@
 		int length = 0;
 		while (true) {
 			int next = this.input.read();
+			if (++this.headBytes > MAXIMUM_HEAD_BYTES) {
+				throw new UpstreamException("head above " + MAXIMUM_HEAD_BYTES + " bytes");
+			}
 			if (next < 0) {
 				throw new UpstreamException((length == 0) ? "connection ended" : "connection ended within a line");
 			}
@@ -294,6 +312,7 @@
 
 	private int readChunked(byte[] buffer) throws IOException {
 		if (this.remaining == 0) {
+			this.headBytes = 0;
 			if (this.chunkEndPending && !readLine().isEmpty()) {
 				throw new UpstreamException("malformed end of a chunk");
 			}
@@ -334,11 +353,9 @@
 		}
 	}
 
-	private void setTimeout(long milliseconds) throws IOException {
-		if (milliseconds <= 0) {
-			throw new SocketTimeoutException("no time left");
-		}
-		this.channel.socket().setSoTimeout((int) Math.min(milliseconds, Integer.MAX_VALUE));
+	private void setTimeout(long milliseconds) {
+		this.readUntilNanoseconds = System.nanoTime()
+				+ TimeUnit.MILLISECONDS.toNanos(Math.min(milliseconds, Integer.MAX_VALUE));
 	}
 
 	/**
@@ -356,4 +373,37 @@
 		}
 	}
 
+	/**
+	 * The bytes that arrive, each read limited to the time that is left. A timeout of
+	 * each read by itself would never end an answer that arrives a byte at a time.
+	 */
+	private final class TimedInput extends FilterInputStream {
+
+		private TimedInput(InputStream arriving) {
+			super(arriving);
+		}
+
+		@Override
+		public int read() throws IOException {
+			limitRead();
+			return super.read();
+		}
+
+		@Override
+		public int read(byte[] buffer, int offset, int length) throws IOException {
+			limitRead();
+			return super.read(buffer, offset, length);
+		}
+
+		private void limitRead() throws IOException {
+			long remainingNanoseconds = EndpointConnection.this.readUntilNanoseconds - System.nanoTime();
+			if (remainingNanoseconds <= 0) {
+				throw new SocketTimeoutException("no time left");
+			}
+			EndpointConnection.this.channel.socket()
+				.setSoTimeout((int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanoseconds)));
+		}
+
+	}
+
 }
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -146,6 +147,41 @@
 		}
 	}
 
+	/**
+	 * A caller that sends bytes without end is cut off instead of being read until it
+	 * closes.
+	 * @param name the case
+	 * @param start what the caller sends first
+	 * @param repeated what it repeats until the connection ends
+	 */
+	@ParameterizedTest(name = "{0}")
+	@Timeout(TIMEOUT_SECONDS)
+	@CsvSource(delimiter = '|',
+			value = { "request line | GET / | x", "header | GET / HTTP/1.1~Host: h~X: | y",
+					"headers | GET / HTTP/1.1~Host: h~ | X: y~",
+					"announced body | POST / HTTP/1.1~Host: h~Content-Length: 99999999999~~ | x",
+					"body in chunks | POST / HTTP/1.1~Host: h~Transfer-Encoding: chunked~~ | 2~ok~",
+					"one chunk | POST / HTTP/1.1~Host: h~Transfer-Encoding: chunked~~7fffffff~ | x",
+					"ambiguous body | POST / HTTP/1.1~Host: h~Content-Length: 9~Content-Length: 99999999999~~ | x" })
+	void cutsOffCallerThatSendsWithoutEnd(String name, String start, String repeated) throws Exception {
+		byte[] bytes = repeated.replace("~", "\r\n").repeat(1_000).getBytes(StandardCharsets.ISO_8859_1);
+		try (Socket socket = connect(start.replace("~", "\r\n"))) {
+			writeUntilCutOff(socket, bytes);
+		}
+		Truth.assertThat(this.receivedRequests).isEmpty();
+	}
+
+	private static void writeUntilCutOff(Socket socket, byte[] bytes) {
+		try {
+			while (!Thread.currentThread().isInterrupted()) {
+				socket.getOutputStream().write(bytes);
+			}
+		}
+		catch (IOException ex) {
+			// The listener has closed the connection.
+		}
+	}
+
 	@Test
 	void passesTargetUnchanged() throws Exception {
 		try (Socket socket = connect("GET /a%2Fb/;x=1/c?q=%20&r=a+b HTTP/1.1\r\nHost: h\r\n\r\n")) {
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -52,6 +53,8 @@
 	private static final String STREAM = "HTTP/1.1 200 OK\r\nId: r\r\nMark: e\r\nContent-Type: text/event-stream\r\n"
 			+ "Transfer-Encoding: chunked\r\n\r\n";
 
+	private static final long ENDLESS_TIMEOUT_SECONDS = 30;
+
 	private final MonotonicClock clock = MonotonicClock.SystemClock.INSTANCE;
 
 	private final EndpointDirectory directory = new EndpointDirectory(this.clock, this::log);
@@ -171,6 +174,84 @@
 			.isEqualTo(status == 200 || status == 500 || answer.contains("504"));
 	}
 
+	/**
+	 * Endpoints in trouble send bytes without end, which are no answer. The exchange ends
+	 * in time and within bounded memory, and the caller learns that the request may have
+	 * run.
+	 * @param name the case
+	 * @param answer the bytes that the endpoint sends
+	 * @param status the expected status for the caller
+	 */
+	@ParameterizedTest(name = "{0}")
+	@Timeout(ENDLESS_TIMEOUT_SECONDS)
+	@CsvSource(delimiter = '|', value = { "status line | HTTP/1.1 200 <endless>x | 502",
+			"header lines | HTTP/1.1 200 OK~<endless>X: y~ | 502",
+			"long header lines | HTTP/1.1 200 OK~<endless>X: "
+					+ "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy~ | 502",
+			"empty lines | <endless>~ | 502", "interim answers | <endless>HTTP/1.1 100 Continue~~ | 502",
+			"answers to others | <endless>HTTP/1.1 200 OK~Id: x~Mark: e~Content-Length: 3~~old | 502",
+			"body until close | HTTP/1.1 200 OK~Id: r~Mark: e~~<endless>0123456789 | 502",
+			"body in chunks | HTTP/1.1 200 OK~Id: r~Mark: e~Transfer-Encoding: chunked~~<endless>5~0123456789~ | 502",
+			"chunk extension | HTTP/1.1 200 OK~Id: r~Mark: e~Transfer-Encoding: chunked~~2;<endless>x | 502",
+			"trailers | HTTP/1.1 200 OK~Id: r~Mark: e~Transfer-Encoding: chunked~~0~<endless>X: y~ | 502",
+			"event | HTTP/1.1 200 OK~Id: r~Mark: e~Content-Type: text/event-stream~~<endless>data | 502",
+			"slow head | HTTP/1.1 200 OK~<drip>X: y~ | 504",
+			"slow interim answers | <drip>HTTP/1.1 100 Continue~~ | 504",
+			"slow body | HTTP/1.1 200 OK~Id: r~Mark: e~~<drip>0 | 504",
+			"slow event | HTTP/1.1 200 OK~Id: r~Mark: e~Content-Type: text/event-stream~~<drip>data | 504" })
+	void endsExchangeWithEndlessBytes(String name, String answer, int status) throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		ScriptedEndpoint endpoint = endpoint("e", answer.replace("~", "\r\n"));
+		list(endpoint.toEndpoint());
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(status);
+		Truth.assertThat(this.caller.isComplete()).isTrue();
+		Truth.assertThat(receivedRequests()).isEqualTo(1);
+	}
+
+	/**
+	 * A stalled stream whose endpoint sends a byte or a comment now and then makes no
+	 * progress, so another endpoint resumes it.
+	 * @param stalling what the endpoint sends instead of the next event
+	 */
+	@ParameterizedTest
+	@Timeout(ENDLESS_TIMEOUT_SECONDS)
+	@ValueSource(strings = { "id: 2", ":\n\n" })
+	void streamThatOnlySendsStrayBytesIsResumedOnAnotherEndpoint(String stalling) throws IOException {
+		route(Execution.RESUMABLE_STREAM, 2);
+		ScriptedEndpoint first = endpoint("a", "HTTP/1.1 200 OK\r\nId: r\r\nMark: e\r\n"
+				+ "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n" + ScriptedEndpoint.DRIP + stalling);
+		list(first.toEndpoint());
+		ScriptedEndpoint second = endpoint("b",
+				STREAM + chunk("id: 1\ndata: x\n\n") + chunk("id: 2\ndata: y\n\n") + "0\r\n\r\n");
+		Thread.startVirtualThread(() -> {
+			while (first.heads().isEmpty()) {
+				Thread.onSpinWait();
+			}
+			list(first.toEndpoint(), second.toEndpoint());
+		});
+		send();
+		Truth.assertThat(this.caller.isComplete()).isTrue();
+		Truth.assertThat(this.caller.body().replace(":\n\n", "")).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+		Truth.assertThat(second.heads().getFirst()).contains("Resume-After: 1\r\n");
+	}
+
+	/**
+	 * The refusal of a request may be delivered twice. The second copy must not be taken
+	 * for the answer to the same request when it is sent again: the caller would learn
+	 * that it did not run while it runs.
+	 */
+	@Test
+	void secondCopyOfRefusalIsNotTakenForAnswerToNextSending() throws IOException {
+		route(Execution.AT_MOST_ONCE, 2);
+		String refusal = "HTTP/1.1 503 Busy\r\nId: r\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+		ScriptedEndpoint endpoint = endpoint("a", refusal, OK_ANSWER);
+		list(endpoint.toEndpoint());
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(200);
+		Truth.assertThat(endpoint.connections()).isEqualTo(2);
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "REPEATABLE, 2, 200, 2", "REPEATABLE, 1, 502, 1", "AT_MOST_ONCE, 2, 502, 1", "STREAM, 2, 502, 1" })
 	void retriesOnlyRepeatableRequests(Execution execution, int attempts, int status, int receivedRequests)
@@ -213,7 +294,7 @@
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			closedPort = socket.getLocalPort();
 		}
-		ServedEndpoint dead = new ServedEndpoint("dead", 1, "pool", "127.0.0.1", closedPort, "domain", 8, false, 0,
+		ServedEndpoint dead = new ServedEndpoint("dead", 1, "pool", "127.0.0.1", closedPort, "domain", 8, false,
 				ServedEndpoint.Holdings.NONE);
 		list(dead, endpoint("b", OK_ANSWER).toEndpoint());
 		send();
@@ -319,8 +400,8 @@
 			while (this.waitingRequests.size() == 0) {
 				Thread.onSpinWait();
 			}
-			this.directory.applyAnnouncement("a", 1, 1,
-					new ServedEndpoint.Holdings(Map.of("m", Set.of()), Set.of(), Set.of()));
+			this.directory.applyAnnouncements(List.of(new EndpointDirectory.AnnouncedHoldings("a", 1,
+					new ServedEndpoint.Holdings(Map.of("m", Set.of()), Set.of(), Set.of()))));
 			this.waitingRequests.signal();
 		});
 		send(LoadableName.ofModel("m"), null);
--- a/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,6 +15,9 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import org.masticshelf.kernel.serving.ServedEndpoint;
 
@@ -29,6 +33,19 @@
 	/** Ends an entry after which the connection is reset. */
 	static final String RESET = "<reset>";
 
+	/** Precedes bytes that are repeated until the connection is closed by the daemon. */
+	static final String ENDLESS = "<endless>";
+
+	/**
+	 * Precedes bytes that are sent one at a time, with pauses far below every timeout,
+	 * and repeated until the connection is closed by the daemon.
+	 */
+	static final String DRIP = "<drip>";
+
+	private static final long DRIP_MILLISECONDS = 50;
+
+	private static final int REPETITIONS_PER_WRITE = 10_000;
+
 	private final String name;
 
 	private final ServerSocket socket;
@@ -37,6 +54,8 @@
 
 	private final List<String> heads = new CopyOnWriteArrayList<>();
 
+	private final AtomicInteger connections = new AtomicInteger();
+
 	ScriptedEndpoint(String name, String... script) throws IOException {
 		this.name = name;
 		this.script.addAll(List.of(script));
@@ -54,7 +73,7 @@
 		for (String model : models) {
 			loaded.put(model, Set.of());
 		}
-		return new ServedEndpoint(this.name, 1, "pool", "127.0.0.1", this.socket.getLocalPort(), "domain", 8, false, 0,
+		return new ServedEndpoint(this.name, 1, "pool", "127.0.0.1", this.socket.getLocalPort(), "domain", 8, false,
 				new ServedEndpoint.Holdings(loaded, Set.of(), Set.of()));
 	}
 
@@ -63,10 +82,16 @@
 		return this.heads;
 	}
 
+	/** Returns the number of accepted connections. */
+	int connections() {
+		return this.connections.get();
+	}
+
 	private void accept() {
 		while (!this.socket.isClosed()) {
 			try {
 				Socket connection = this.socket.accept();
+				this.connections.incrementAndGet();
 				Thread.startVirtualThread(() -> serve(connection));
 			}
 			catch (IOException ex) {
@@ -90,8 +115,10 @@
 				}
 				boolean reset = answer.endsWith(RESET);
 				boolean close = answer.endsWith(CLOSE);
-				connection.getOutputStream()
-					.write(answer.replace(CLOSE, "").replace(RESET, "").getBytes(StandardCharsets.ISO_8859_1));
+				String[] parts = answer.replace(CLOSE, "").replace(RESET, "").split("(?=" + ENDLESS + "|" + DRIP + ")");
+				for (String part : parts) {
+					write(connection.getOutputStream(), part);
+				}
 				if (reset) {
 					connection.setSoLinger(true, 0);
 				}
@@ -105,6 +132,29 @@
 		}
 	}
 
+	private void write(OutputStream output, String part) throws IOException {
+		if (part.startsWith(ENDLESS)) {
+			byte[] repeated = bytes(part.substring(ENDLESS.length()).repeat(REPETITIONS_PER_WRITE));
+			while (!this.socket.isClosed()) {
+				output.write(repeated);
+			}
+		}
+		else if (part.startsWith(DRIP)) {
+			byte[] repeated = bytes(part.substring(DRIP.length()));
+			for (int index = 0; !this.socket.isClosed(); index = (index + 1) % repeated.length) {
+				output.write(repeated[index]);
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRIP_MILLISECONDS));
+			}
+		}
+		else {
+			output.write(bytes(part));
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
 	private static String readHead(InputStream input) throws IOException {
 		ByteArrayOutputStream head = new ByteArrayOutputStream();
 		while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
