Announcements of the placing daemon take effect

Requests that had waited 8 s for a load were refused 5 ms after it had ended, because the estimate was gone and the holdings were not there yet. Change: a recent announcement for the same run of an engine comes before its entry; the announcements of a message are applied together and before the estimates; peers that nothing concerns get no extra message.

--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedEndpoint.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedEndpoint.java
@@ -15,11 +15,10 @@
  * @param failureDomain its failure domain
  * @param slots the number of requests that it processes concurrently
  * @param leaving whether it must receive no new requests
- * @param ordersTaken the number of orders that it had accepted when this was written
  * @param holdings the models and adapters that it holds, empty for a plain service
  */
 public record ServedEndpoint(String identifier, long startedAt, String pool, String host, int port,
-		String failureDomain, int slots, boolean leaving, long ordersTaken, Holdings holdings) {
+		String failureDomain, int slots, boolean leaving, Holdings holdings) {
 
 	/**
 	 * Returns the address.
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -180,8 +180,8 @@
 		PeerMessage.Placement decided = this.components.placement().announcement(full);
 		if (decided != null) {
 			// The placing daemon's own requests wait for models, too.
-			this.components.peers().updatePlacement(decided);
 			applyPlacement(decided);
+			this.components.peers().updatePlacement(decided);
 			this.components.waitingRequests().signal();
 		}
 		PeerLink openLink = this.link;
@@ -193,15 +193,17 @@
 	private void sendUpdate(PeerLink openLink, String incarnation, String address,
 			PeerMessage.@Nullable Placement decided, boolean all) {
 		boolean toPlacingPeer = incarnation.equals(placingPeer());
-		if (!all && decided == null && !toPlacingPeer) {
+		PeerMessage.Placement told = (decided != null) ? decided.withEstimates(estimatesFor(incarnation, decided))
+				: null;
+		if (!all && !toPlacingPeer && (told == null || told.isEmpty())) {
 			return;
 		}
 		PeerMessage message = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(),
 				toPlacingPeer ? this.components.waitingRequests().summary() : List.of(),
-				toPlacingPeer ? this.components.rates().requestsPerSecond() : Map.of(), decided);
-		openLink.send(address, (decided != null) ? message.withEstimates(estimatesFor(incarnation, decided)) : message);
+				toPlacingPeer ? this.components.rates().requestsPerSecond() : Map.of(), told);
+		openLink.send(address, message);
 	}
 
 	private @Nullable String placingPeer() {
@@ -232,10 +234,15 @@
 		if (message.incarnation().equals(this.components.members().self().incarnation())) {
 			return;
 		}
+		PeerMessage.Placement decided = message.placement();
+		// A model that is loaded has no estimate any more. Holdings are applied first, so
+		// that a request that waits for it never finds neither.
+		if (decided != null && this.components.peers().supersedes(decided)) {
+			applyPlacement(decided);
+		}
 		boolean isNewestPlacement = this.components.peers().receive(message);
 		this.components.grants().recordPeerSpending(message.incarnation(), message.spent());
-		if (isNewestPlacement && message.placement() != null) {
-			applyPlacement(message.placement());
+		if (isNewestPlacement) {
 			this.components.waitingRequests().signal();
 		}
 		if (!message.waiting().isEmpty()) {
@@ -244,13 +251,14 @@
 	}
 
 	private void applyPlacement(PeerMessage.Placement decided) {
+		List<EndpointDirectory.AnnouncedHoldings> announced = new ArrayList<>();
 		for (PeerMessage.Engine engine : decided.engines()) {
 			Map<String, Set<String>> loaded = new HashMap<>();
 			engine.loaded().forEach((model, adapters) -> loaded.put(model, Set.copyOf(adapters)));
-			this.components.directory()
-				.applyAnnouncement(engine.endpoint(), engine.startedAt(), engine.orders(),
-						new Holdings(loaded, Set.of(), Set.of()));
+			announced.add(new EndpointDirectory.AnnouncedHoldings(engine.endpoint(), engine.startedAt(),
+					new Holdings(loaded, Set.of(), Set.of())));
 		}
+		this.components.directory().applyAnnouncements(announced);
 	}
 
 	private void sendUpdatesSafely() {
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
@@ -30,7 +30,8 @@
 
 	/**
 	 * How long an announcement of the placing daemon takes precedence over the endpoint's
-	 * own description with the same number of orders.
+	 * own description, which is written and read seconds later. The placing daemon
+	 * repeats its announcements more often.
 	 */
 	private static final long ANNOUNCEMENT_PRECEDENCE_MILLISECONDS = 2_000;
 
@@ -130,20 +131,20 @@
 	}
 
 	/**
-	 * Applies the placing daemon's announcement of an engine's holdings.
-	 * @param identifier the identifier of the endpoint
-	 * @param startedAt when the endpoint was started
-	 * @param ordersTaken the number of orders that it had accepted
-	 * @param holdings what it holds
+	 * Applies the placing daemon's announcements of engines' holdings. Listeners are
+	 * called once, when all are in force.
+	 * @param announced the holdings by engine
 	 */
-	public void applyAnnouncement(String identifier, long startedAt, long ordersTaken, Holdings holdings) {
-		boolean changed;
+	public void applyAnnouncements(Collection<AnnouncedHoldings> announced) {
+		boolean changed = false;
 		synchronized (this) {
-			Announcement latest = new Announcement(startedAt, ordersTaken, holdings, this.clock.milliseconds());
-			Announcement previous = this.announcements.put(identifier, latest);
-			changed = previous == null || !previous.holdings().equals(holdings) || previous.startedAt() != startedAt;
-			if (changed) {
-				this.lacking.remove(identifier);
+			for (AnnouncedHoldings engine : announced) {
+				Announcement previous = this.announcements.put(engine.identifier(),
+						new Announcement(engine, this.clock.milliseconds()));
+				if (previous == null || !previous.announced().equals(engine)) {
+					this.lacking.remove(engine.identifier());
+					changed = true;
+				}
 			}
 		}
 		if (changed) {
@@ -211,13 +212,11 @@
 
 	private Holdings holdings(ServedEndpoint endpoint) {
 		Announcement announcement = this.announcements.get(endpoint.identifier());
-		if (announcement == null || announcement.startedAt() != endpoint.startedAt()) {
+		if (announcement == null || announcement.announced().startedAt() != endpoint.startedAt()) {
 			return endpoint.holdings();
 		}
 		boolean recent = this.clock.milliseconds() - announcement.at() < ANNOUNCEMENT_PRECEDENCE_MILLISECONDS;
-		boolean later = announcement.ordersTaken() > endpoint.ordersTaken();
-		boolean same = announcement.ordersTaken() == endpoint.ordersTaken();
-		return (later || (same && recent)) ? announcement.holdings() : endpoint.holdings();
+		return recent ? announcement.announced().holdings() : endpoint.holdings();
 	}
 
 	private boolean isLeaving(ServedEndpoint endpoint) {
@@ -230,14 +229,22 @@
 	}
 
 	/**
-	 * An announcement of an engine's holdings by the placing daemon.
+	 * The holdings of an engine as the placing daemon knows them. Immutable.
 	 *
+	 * @param identifier the identifier of the endpoint
 	 * @param startedAt when the endpoint was started
-	 * @param ordersTaken the number of orders that it had accepted
 	 * @param holdings what it holds
-	 * @param at when the announcement was received, monotonic milliseconds
 	 */
-	private record Announcement(long startedAt, long ordersTaken, Holdings holdings, long at) {
+	public record AnnouncedHoldings(String identifier, long startedAt, Holdings holdings) {
+	}
+
+	/**
+	 * An announcement and the time of its receipt.
+	 *
+	 * @param announced the announced holdings
+	 * @param at when they were received, monotonic milliseconds
+	 */
+	private record Announcement(AnnouncedHoldings announced, long at) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.jspecify.annotations.Nullable;
@@ -39,20 +40,6 @@
 		return (map != null) ? Map.copyOf(map) : Map.of();
 	}
 
-	/**
-	 * Returns a copy of this message with other estimates in its placement.
-	 * @param readyIn the time until each model or adapter is ready that the receiver
-	 * waits for
-	 * @return the copy, or this message if it carries no placement
-	 */
-	public PeerMessage withEstimates(Map<String, Long> readyIn) {
-		Placement currentPlacement = this.placement;
-		return (currentPlacement != null)
-				? new PeerMessage(this.incarnation, this.address, this.number, this.spent, this.running, this.waiting,
-						this.rates, new Placement(currentPlacement.fencing(), currentPlacement.engines(), readyIn))
-				: this;
-	}
-
 	/**
 	 * The requests that wait for a model or adapter.
 	 *
@@ -85,6 +72,25 @@
 			readyIn = orEmpty(readyIn);
 		}
 
+		/**
+		 * Returns a copy with other estimates.
+		 * @param estimates the time until each model or adapter is ready that the
+		 * receiver waits for
+		 * @return the copy
+		 */
+		public Placement withEstimates(Map<String, Long> estimates) {
+			return new Placement(this.fencing, this.engines, estimates);
+		}
+
+		/**
+		 * Returns whether this tells nothing but who places.
+		 * @return whether there are neither holdings nor estimates
+		 */
+		@JsonIgnore
+		public boolean isEmpty() {
+			return this.engines.isEmpty() && this.readyIn.isEmpty();
+		}
+
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
@@ -60,14 +60,23 @@
 		return (last != null && recentMessages().containsKey(last)) ? last : null;
 	}
 
+	/**
+	 * Returns whether a placement is at least as new as the known one.
+	 * @param placement the placement
+	 * @return whether it would be recorded
+	 */
+	public synchronized boolean supersedes(PeerMessage.Placement placement) {
+		PeerMessage.Placement known = this.newestPlacement;
+		return known == null || known.fencing() <= placement.fencing();
+	}
+
 	/**
 	 * Records a placement from a peer or from this daemon.
 	 * @param placement the placement
 	 * @return whether the placement is the newest one
 	 */
 	public synchronized boolean updatePlacement(PeerMessage.Placement placement) {
-		PeerMessage.Placement known = this.newestPlacement;
-		if (known != null && known.fencing() > placement.fencing()) {
+		if (!supersedes(placement)) {
 			return false;
 		}
 		this.newestPlacement = placement;
