A load that is due frees its engine, and its requests go on waiting

Causes, by the same trace: (1) an estimate vanishes when its load ends, and a request that had waited over half of its time was then refused; (2) an engine with a load from its disk stood idle for 0.23 s of each 1.33 s until a report, which lags, showed the load; (3) every load after an unload was ordered 15 ms after it and refused, 46 of 158 orders; (4) reports of loads from the store were read each 60 ms once due.

--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
@@ -63,6 +63,8 @@
 
 	private long orderedAt;
 
+	private boolean presumed;
+
 	private boolean changed = true;
 
 	private volatile boolean reportMissed;
@@ -151,6 +153,7 @@
 		this.onDisk.addAll(report.holdings().onDisk());
 		this.changed |= !this.known || !previous.equals(this.loaded);
 		this.known = true;
+		this.presumed = false;
 		return true;
 	}
 
@@ -210,6 +213,25 @@
 		this.changed = true;
 	}
 
+	/**
+	 * Records that a model must be loaded by now, although no report shows it yet.
+	 * @param loadable the model
+	 * @param now the monotonic time in milliseconds
+	 */
+	void recordPresumedLoad(LoadableName loadable, long now) {
+		recordLoaded(loadable, now);
+		this.inMemory.add(loadable.model());
+		this.presumed = true;
+	}
+
+	/**
+	 * Returns whether a load is presumed to have ended that no report has shown yet.
+	 * @return whether the next report is needed soon
+	 */
+	boolean isPresumed() {
+		return this.presumed;
+	}
+
 	/**
 	 * Records that a model or adapter is unloaded or about to be.
 	 * @param loadable the model or adapter
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -58,6 +58,9 @@
 
 	private static final long UNKNOWN_REPORT_INTERVAL_MILLISECONDS = 100;
 
+	/** Longer than the lag of reports, so that the next one shows the presumed load. */
+	private static final long PRESUMED_REPORT_INTERVAL_MILLISECONDS = 600;
+
 	/**
 	 * Short enough to find out within a second which engines are still reachable during a
 	 * network partition.
@@ -262,10 +265,7 @@
 					this.newEngineAt = now;
 				}
 				boolean idle = state.modelStep() == null && !state.isOrderPending();
-				long interval = !state.isKnown() ? UNKNOWN_REPORT_INTERVAL_MILLISECONDS
-						: this.access.cutOff().test(endpoint) ? PARTITIONED_REPORT_INTERVAL_MILLISECONDS
-								: REPORT_INTERVAL_MILLISECONDS;
-				if (idle && state.isReportDue(now, interval)) {
+				if (idle && state.isReportDue(now, reportInterval(state, endpoint))) {
 					EngineState reporting = state;
 					actions.add(() -> readReport(reporting));
 				}
@@ -274,6 +274,16 @@
 		this.engines.keySet().retainAll(present);
 	}
 
+	private long reportInterval(EngineState state, ServedEndpoint endpoint) {
+		if (!state.isKnown()) {
+			return UNKNOWN_REPORT_INTERVAL_MILLISECONDS;
+		}
+		if (this.access.cutOff().test(endpoint)) {
+			return PARTITIONED_REPORT_INTERVAL_MILLISECONDS;
+		}
+		return state.isPresumed() ? PRESUMED_REPORT_INTERVAL_MILLISECONDS : REPORT_INTERVAL_MILLISECONDS;
+	}
+
 	private void planPool(String pool, EngineProfile profile, Demand demand, Duty.Tenure tenure, long now,
 			List<Runnable> actions) {
 		List<EngineSnapshot> usable = new ArrayList<>();
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -31,16 +31,26 @@
 	 * The delay before an order is retried after a conflict with an unload or after no
 	 * answer.
 	 */
-	private static final long RETRY_MILLISECONDS = 50;
+	private static final long RETRY_MILLISECONDS = 25;
 
-	private static final long DISK_SLACK_MILLISECONDS = 25;
+	/** Added to the known duration of a load from memory or disk. */
+	private static final long LOCAL_SLACK_MILLISECONDS = 25;
 
-	private static final int MAXIMUM_RETRIES = 10;
+	private static final int MAXIMUM_RETRIES = 20;
 
 	private static final long POLL_MILLISECONDS = 60;
 
-	/** Short, since an engine unloads a model without requests at once. */
-	private static final long UNLOAD_MILLISECONDS = 15;
+	/**
+	 * How often the report of an engine is read once its load from the weight store is
+	 * due, which takes longer the more engines load.
+	 */
+	private static final long STORE_POLL_MILLISECONDS = 200;
+
+	/**
+	 * The time that an engine takes to unload a model without requests. It refuses every
+	 * order until then, and refused orders have a cost, too.
+	 */
+	private static final long UNLOAD_MILLISECONDS = 55;
 
 	/**
 	 * Engines answer within a few milliseconds; a lost answer is detected from the next
@@ -234,33 +244,20 @@
 	private void awaitLoad(EngineState state, ResidencyStep.Load load) {
 		long begunAt = this.clock.milliseconds();
 		long overdueAt = begunAt + OVERDUE_FACTOR * load.milliseconds() + OVERDUE_MILLISECONDS;
-		long dueAt = begunAt + load.milliseconds()
-				+ ((load.source() == ResidencyStep.Source.DISK) ? DISK_SLACK_MILLISECONDS : 0);
-		boolean recorded = load.source() != ResidencyStep.Source.DISK;
+		boolean local = load.source() != ResidencyStep.Source.STORE;
+		long dueAt = begunAt + load.milliseconds() + (local ? LOCAL_SLACK_MILLISECONDS : 0);
 		int missing = 0;
 		while (!this.placement.isStopped() && this.clock.milliseconds() < overdueAt
 				&& missing < MAXIMUM_MISSING_REPORTS) {
 			long untilDue = dueAt - this.clock.milliseconds();
-			pause((untilDue > 0) ? Math.min(untilDue, LOADING_REPORT_INTERVAL_MILLISECONDS) : POLL_MILLISECONDS);
-			if (!recorded && this.clock.milliseconds() >= dueAt) {
-				// The duration of a load from disk is known, whereas reports lag behind.
-				recorded = true;
-				synchronized (this.placement) {
-					state.recordLoaded(load.loadable(), this.clock.milliseconds());
-				}
-				this.announceChange.run();
-			}
+			pause((untilDue > 0) ? Math.min(untilDue, LOADING_REPORT_INTERVAL_MILLISECONDS)
+					: local ? POLL_MILLISECONDS : STORE_POLL_MILLISECONDS);
 			EngineReport report = readReport(state);
 			missing = (report != null) ? 0 : missing + 1;
-			if (report != null && isDone(state, load, report)) {
-				synchronized (this.placement) {
-					state.applyReport(report, this.clock.milliseconds());
-				}
-				this.log.accept(Event.named("placement.load_done")
-					.with("endpoint", load.endpoint())
-					.with("loadable", load.loadable())
-					.with("source", load.source())
-					.with("orders_taken", report.ordersTaken()));
+			// The duration of a load that does not share the weight store is known,
+			// whereas reports lag behind. Waiting for one would leave the engine idle.
+			boolean presumable = local && this.clock.milliseconds() >= dueAt;
+			if (report != null && endLoad(state, load, report, presumable)) {
 				return;
 			}
 		}
@@ -274,6 +271,28 @@
 		}
 	}
 
+	private boolean endLoad(EngineState state, ResidencyStep.Load load, EngineReport report, boolean presumable) {
+		boolean done = isDone(state, load, report);
+		if (!done && !presumable) {
+			return false;
+		}
+		synchronized (this.placement) {
+			if (done) {
+				state.applyReport(report, this.clock.milliseconds());
+			}
+			else {
+				state.recordPresumedLoad(load.loadable(), this.clock.milliseconds());
+			}
+		}
+		this.log.accept(Event.named("placement.load_done")
+			.with("endpoint", load.endpoint())
+			.with("loadable", load.loadable())
+			.with("source", load.source())
+			.with("presumed", !done)
+			.with("orders_taken", report.ordersTaken()));
+		return true;
+	}
+
 	private boolean isDone(EngineState state, ResidencyStep.Load load, EngineReport report) {
 		synchronized (this.placement) {
 			return report.ordersTaken() >= state.ordersTaken() && !report.busy()
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -5,6 +5,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.masticshelf.kernel.admission.ReadinessEstimate;
 import org.masticshelf.kernel.admission.WaitDecision;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -126,6 +127,7 @@
 
 	private @Nullable ServedEndpoint awaitEndpoint() {
 		WaitingRequests.Entry entry = null;
+		ReadinessEstimate estimate = ReadinessEstimate.NONE;
 		try {
 			while (true) {
 				if (this.caller.isGone()) {
@@ -144,7 +146,8 @@
 				if (endpoint != null) {
 					return endpoint;
 				}
-				long readyInMilliseconds = readyIn();
+				estimate = estimate.learn(elapsed(), readyIn());
+				long readyInMilliseconds = estimate.readyIn(elapsed());
 				WaitDecision decision = WaitDecision.decide(elapsed(), firstEventLimit(), readyInMilliseconds,
 						ANSWER_START_MILLISECONDS);
 				switch (decision) {
--- a/serving/src/test/java/org/masticshelf/serving/placement/FakeEngineOrders.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/FakeEngineOrders.java
@@ -40,6 +40,10 @@
 
 	private int reportCount;
 
+	private int conflictCount;
+
+	private long unloadMilliseconds = LOAD_MILLISECONDS;
+
 	FakeEngineOrders(Map<String, Double> megabytes, double capacityMegabytes, long seed) {
 		this.megabytes = megabytes;
 		this.capacityMegabytes = capacityMegabytes;
@@ -51,6 +55,11 @@
 		this.unansweredShare = share;
 	}
 
+	/** Sets how long an engine is busy with an unload. */
+	synchronized void setUnloadMilliseconds(long milliseconds) {
+		this.unloadMilliseconds = milliseconds;
+	}
+
 	/** Makes an engine unreachable for reports. */
 	synchronized void cutOff(String endpoint) {
 		engine(endpoint).cutOff = true;
@@ -80,6 +89,7 @@
 		Engine engine = engine(endpoint);
 		engine.settle();
 		if (engine.busyUntil > 0 || order.ordersTaken() != engine.orders) {
+			this.conflictCount++;
 			return OrderAnswer.CONFLICT;
 		}
 		String model = order.loadable().model();
@@ -89,7 +99,7 @@
 		}
 		engine.orders++;
 		this.acceptedOrders.add(order);
-		engine.busyUntil = System.nanoTime() + LOAD_MILLISECONDS * 1_000_000;
+		engine.busyUntil = System.nanoTime() + (order.load() ? LOAD_MILLISECONDS : this.unloadMilliseconds) * 1_000_000;
 		if (!order.load()) {
 			engine.loaded.remove(model);
 			return OrderAnswer.ACCEPTED;
@@ -126,6 +136,11 @@
 			.anyMatch((engine) -> engine.loaded.contains(model) && !(engine.crashes && engine.orders > 0));
 	}
 
+	/** Returns how many orders were refused with a conflict. */
+	synchronized int conflictCount() {
+		return this.conflictCount;
+	}
+
 	synchronized int reportCount() {
 		return this.reportCount;
 	}
--- a/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
@@ -68,7 +68,7 @@
 				Map.of(), false, new ServedTables.Limits(1, 1));
 		List<ServedEndpoint> endpoints = new ArrayList<>();
 		for (int index = 0; index < 3; index++) {
-			endpoints.add(new ServedEndpoint("e" + index, 1, "pool", "127.0.0.1", 1, "domain", 8, false, 0,
+			endpoints.add(new ServedEndpoint("e" + index, 1, "pool", "127.0.0.1", 1, "domain", 8, false,
 					ServedEndpoint.Holdings.NONE));
 		}
 		this.directory.replace(endpoints);
@@ -170,6 +170,23 @@
 				&& announced.engines().stream().anyMatch((engine) -> engine.loaded().containsKey(model));
 	}
 
+	/**
+	 * Replays requests for more rare models than fit, so that each load needs an unload,
+	 * during which an engine refuses orders.
+	 */
+	@Test
+	void ordersLoadOnceTheUnloadHasEnded() throws Exception {
+		FakeEngineOrders engines = startPlacement(1, 0);
+		engines.setUnloadMilliseconds(40);
+		this.duty.gain(5);
+		for (int index = 0; index < MODELS; index++) {
+			String model = "m" + index;
+			requestModel(model);
+			awaitTrue(() -> engines.holds(model));
+		}
+		Truth.assertThat(engines.conflictCount()).isEqualTo(0);
+	}
+
 	@Test
 	void sendsNoOrderWithoutTheDuty() throws Exception {
 		FakeEngineOrders engines = startPlacement(1, 0);
