Planning and control rounds cost less processor time

A plan for 37 engines and 313 models with 40 models waited for took 2.9 ms on one thread, for 98 engines, 824 models and 100 waited for 11.0 ms, and every message about a waiting request started one. Change: models with a copy are tried on the engines that have it only; models that only the store has are not tried while it is busy; replicas are sorted only for models that lack some; requests that run are summed by model once a round; one control task in place of five.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -75,7 +75,9 @@
 
 	private final Map<String, Long> freeInMilliseconds = new HashMap<>();
 
-	private final Set<String> cachedModels = new HashSet<>();
+	private final Map<String, List<EngineSnapshot>> enginesWithCopy = new HashMap<>();
+
+	private final Map<String, Double> adapterRequestsPerSecond = new HashMap<>();
 
 	private int storeLoads;
 
@@ -90,14 +92,18 @@
 		for (EngineSnapshot engine : input.engines()) {
 			engine.loaded().keySet().forEach((model) -> this.replicas.merge(model, 1, Integer::sum));
 			this.freeInMilliseconds.put(engine.identifier(), engine.freeInMilliseconds());
-			this.cachedModels.addAll(engine.inMemory());
-			this.cachedModels.addAll(engine.onDisk());
+			engine.inMemory().forEach((model) -> addCopy(model, engine));
+			for (String model : engine.onDisk()) {
+				if (!engine.inMemory().contains(model)) {
+					addCopy(model, engine);
+				}
+			}
 			this.modelsOnEngines.addAll(engine.loaded().keySet());
 			if (!engine.loading().isEmpty()) {
 				loading.merge(engine.loading(), engine.freeInMilliseconds(), Math::min);
 			}
 		}
-		this.modelsOnEngines.addAll(this.cachedModels);
+		this.modelsOnEngines.addAll(this.enginesWithCopy.keySet());
 		loading.forEach((model, readyIn) -> {
 			if (!this.replicas.containsKey(model)) {
 				this.readyIn.put(model, readyIn);
@@ -145,15 +151,20 @@
 	}
 
 	private void planReplicas() {
-		List<String> busy = new ArrayList<>(this.input.requestsPerSecond().keySet());
-		busy.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
-			.thenComparing((model) -> model));
-		for (String model : busy) {
-			int count = this.replicas.getOrDefault(model, 0);
-			if (count > 0 && count < this.capacity.targetReplicas(model) && this.input.models().containsKey(model)) {
-				planLoad(profile(model), Reason.BUSY);
+		List<String> busy = new ArrayList<>();
+		for (String model : this.input.requestsPerSecond().keySet()) {
+			if (lacksReplicas(model)) {
+				busy.add(model);
 			}
 		}
+		busy.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
+			.thenComparing((model) -> model));
+		busy.forEach((model) -> planLoad(profile(model), Reason.BUSY));
+	}
+
+	private boolean lacksReplicas(String model) {
+		int count = this.replicas.getOrDefault(model, 0);
+		return count > 0 && count < this.capacity.targetReplicas(model) && this.input.models().containsKey(model);
 	}
 
 	// While there are no requests, models that no engine has are fetched once, those with
@@ -188,9 +199,23 @@
 		return profile;
 	}
 
+	private void addCopy(String model, EngineSnapshot engine) {
+		this.enginesWithCopy.computeIfAbsent(model, (key) -> new ArrayList<>()).add(engine);
+	}
+
 	private void planLoad(ModelProfile profile, Reason reason) {
+		List<EngineSnapshot> withCopy = this.enginesWithCopy.getOrDefault(profile.name(), List.of());
+		if (reason == Reason.WAITED_FOR && withCopy.isEmpty() && this.storeLoads >= this.input.maximumStoreLoads()) {
+			awaitStore(profile);
+			return;
+		}
+		// A slow load would block an engine for many fast ones, so what lies on a disk is
+		// not
+		// loaded elsewhere.
+		boolean onlyWithCopy = reason == Reason.WAITED_FOR && !withCopy.isEmpty();
+		List<EngineSnapshot> engines = onlyWithCopy ? withCopy : this.input.engines();
 		Candidate best = null;
-		for (EngineSnapshot engine : this.input.engines()) {
+		for (EngineSnapshot engine : engines) {
 			boolean eligible = !engine.loaded().containsKey(profile.name())
 					&& (reason == Reason.WAITED_FOR || isFree(engine));
 			Candidate candidate = eligible ? candidate(engine, profile, reason) : null;
@@ -221,17 +246,17 @@
 		}
 	}
 
+	private void awaitStore(ModelProfile profile) {
+		this.readyIn.merge(profile.name(), this.nextStoreLoadMilliseconds + profile.storeMilliseconds(), Math::min);
+		this.nextStoreLoadMilliseconds += profile.storeMilliseconds() / this.input.maximumStoreLoads();
+	}
+
 	private boolean isFree(EngineSnapshot engine) {
 		return engine.freeInMilliseconds() == 0 && !this.assignedEngines.contains(engine.identifier());
 	}
 
 	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
-		// A slow load would block the engine for many fast ones.
-		if (reason == Reason.WAITED_FOR && source == ResidencyStep.Source.STORE
-				&& this.cachedModels.contains(profile.name())) {
-			return null;
-		}
 		if (reason == Reason.BUSY && source == ResidencyStep.Source.STORE
 				&& this.capacity.requestsPerSecond(profile.name())
 						/ this.replicas.getOrDefault(profile.name(), 1) < STORE_LOAD_REQUESTS_PER_SECOND) {
@@ -243,7 +268,8 @@
 			readyIn = Math.max(readyIn, this.nextStoreLoadMilliseconds + loadMilliseconds);
 		}
 		long adapterPenalty = (long) (loadMilliseconds
-				* Math.min(1, adapterRequestsPerSecond(engine) / FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND));
+				* Math.min(1, this.adapterRequestsPerSecond.computeIfAbsent(engine.identifier(),
+						(key) -> adapterRequestsPerSecond(engine)) / FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND));
 		EngineCapacity.Eviction eviction = this.capacity.chooseEviction(engine, profile, maximumLoss(profile, reason),
 				(victim) -> isEvictable(victim, profile, reason));
 		if (eviction == null) {
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -176,11 +176,7 @@
 				this::isReady, this.metrics, this::bodyLimit), this.ports.requests(), this.forwarder);
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
-		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.lease::round);
-		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.memberView::round);
-		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.dutyView::round);
-		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.members::round);
-		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.duties::round);
+		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
 		scheduleEvery(PEER_INTERVAL_MILLISECONDS, () -> this.peerExchange.round(this.lease.heldIdentifier() != 0));
 		this.placement.start();
 		EventLog.info(Event.named("daemon.started")
@@ -192,6 +188,15 @@
 		this.scheduler.scheduleWithFixedDelay(() -> runSafely(round), 0, milliseconds, TimeUnit.MILLISECONDS);
 	}
 
+	// One task instead of five wakes the process up less often.
+	private void controlRound() {
+		runSafely(this.lease::round);
+		runSafely(this.memberView::round);
+		runSafely(this.dutyView::round);
+		runSafely(this.members::round);
+		runSafely(this.duties::round);
+	}
+
 	private static void runSafely(Runnable task) {
 		try {
 			task.run();
--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
@@ -47,6 +47,8 @@
 
 	private final Map<String, Long> lastUsedAt = new HashMap<>();
 
+	private final Map<String, Integer> runningByModel = new HashMap<>();
+
 	private Map<String, Integer> running = Map.of();
 
 	private long ordersTaken;
@@ -280,9 +282,12 @@
 	 */
 	void setRunning(Map<String, Integer> counts, long now) {
 		this.running = counts;
-		counts.keySet().forEach((loadable) -> {
+		this.runningByModel.clear();
+		counts.forEach((loadable, count) -> {
+			String model = LoadableName.parse(loadable).model();
+			this.runningByModel.merge(model, count, Integer::sum);
 			this.lastUsedAt.put(loadable, now);
-			this.lastUsedAt.put(LoadableName.parse(loadable).model(), now);
+			this.lastUsedAt.put(model, now);
 		});
 	}
 
@@ -301,11 +306,7 @@
 	EngineSnapshot toEngine(EngineProfile profile, long now) {
 		Map<String, EngineSnapshot.LoadedModel> residents = new HashMap<>();
 		this.loaded.forEach((model, adapters) -> {
-			int count = this.running.entrySet()
-				.stream()
-				.filter((entry) -> LoadableName.parse(entry.getKey()).model().equals(model))
-				.mapToInt(Map.Entry::getValue)
-				.sum();
+			int count = this.runningByModel.getOrDefault(model, 0);
 			Map<String, Long> idle = new HashMap<>();
 			adapters.forEach(
 					(adapter) -> idle.put(adapter, idleMilliseconds(new LoadableName(model, adapter).toString(), now)));
