The number of loads that the weight store serves at full speed is learned

Cause: it was a fixed 4, while the store of the large deployment serves 2 and that of its small twins 3. With 4 at once each load took 10 to 16 s in place of 7.8 s, blocked twice the engines, and callers were told to wait for loads that came after their patience (waited_ms over 10,000 in the trace of the twin). Change: StoreThroughput learns from each completed load; a placing daemon starts from the setting. Plans are at least 20 ms apart. Tests: StoreThroughputTests, with a replay of a queue of rare models that never ends.

--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/StoreThroughput.java
@@ -0,0 +1,45 @@
+package org.masticshelf.kernel.residency;
+
+/**
+ * The number of concurrent loads that the weight store serves at full speed, as learned
+ * from the loads themselves.
+ * <p>
+ * Designed for requests for more models than the weight store can deliver: beyond its
+ * number, each load takes longer in proportion, so that more loads at once deliver no
+ * more models, block more engines, and are promised to callers too early. Immutable.
+ *
+ * @param loadsAtFullSpeed the number of loads
+ */
+public record StoreThroughput(int loadsAtFullSpeed) {
+
+	/** Bounds the loads that may begin within a few seconds. */
+	static final int MAXIMUM_LOADS = 8;
+
+	/** The share of its nominal duration by which a load at full speed may be late. */
+	static final double TOLERATED_DELAY_SHARE = 0.1;
+
+	/**
+	 * Learns from a completed load. A load that was slowed down tells how many the store
+	 * serves; one at full speed, while as many loads as allowed were in progress, tells
+	 * that there may be more.
+	 * @param tookMilliseconds how long the load took
+	 * @param nominalMilliseconds how long it takes at full speed
+	 * @param concurrentLoads the mean number of loads in progress meanwhile, including
+	 * this one
+	 * @return the new estimate
+	 */
+	public StoreThroughput learn(long tookMilliseconds, long nominalMilliseconds, double concurrentLoads) {
+		if (nominalMilliseconds <= 0 || tookMilliseconds <= 0) {
+			return this;
+		}
+		double slowdown = (double) tookMilliseconds / nominalMilliseconds;
+		if (slowdown > 1 + TOLERATED_DELAY_SHARE) {
+			int served = (int) Math.max(1, Math.round(concurrentLoads / slowdown));
+			return (served < this.loadsAtFullSpeed) ? new StoreThroughput(served) : this;
+		}
+		boolean atLimit = concurrentLoads >= this.loadsAtFullSpeed;
+		return (atLimit && this.loadsAtFullSpeed < MAXIMUM_LOADS) ? new StoreThroughput(this.loadsAtFullSpeed + 1)
+				: this;
+	}
+
+}
--- /dev/null
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/StoreThroughputTests.java
@@ -0,0 +1,47 @@
+package org.masticshelf.kernel.residency;
+
+import com.google.common.truth.Truth;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests {@link StoreThroughput}.
+ */
+class StoreThroughputTests {
+
+	private static final long NOMINAL_MILLISECONDS = 7_800;
+
+	/**
+	 * Learns from one load.
+	 * @param known the number of loads at full speed before
+	 * @param took how long the load took
+	 * @param concurrent the mean number of concurrent loads
+	 * @param expected the number after it
+	 */
+	@ParameterizedTest
+	@CsvSource({ "4, 15600, 4, 2", "4, 10400, 4, 3", "4, 31200, 4, 1", "4, 8000, 4, 5", "4, 8000, 3, 4",
+			"2, 9000, 1, 1", "8, 7800, 8, 8", "1, 20000, 1, 1", "4, 15600, 8, 4", "4, 0, 4, 4" })
+	void learnsFromLoad(int known, long took, double concurrent, int expected) {
+		Truth.assertThat(new StoreThroughput(known).learn(took, NOMINAL_MILLISECONDS, concurrent).loadsAtFullSpeed())
+			.isEqualTo(expected);
+	}
+
+	/**
+	 * Replays a queue of rare models that never ends against a store that serves some
+	 * loads at full speed and slows down in proportion beyond.
+	 * @param served the number that the store serves
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1", "2", "3", "4", "6" })
+	void staysCloseToWhatTheStoreServes(int served) {
+		StoreThroughput throughput = new StoreThroughput(4);
+		for (int load = 0; load < 20; load++) {
+			int concurrent = throughput.loadsAtFullSpeed();
+			long took = Math.round(NOMINAL_MILLISECONDS * Math.max(1, (double) concurrent / served));
+			throughput = throughput.learn(took, NOMINAL_MILLISECONDS, concurrent);
+		}
+		Truth.assertThat(throughput.loadsAtFullSpeed()).isAtLeast(served);
+		Truth.assertThat(throughput.loadsAtFullSpeed()).isAtMost(served + 1);
+	}
+
+}
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -22,6 +22,7 @@
 import org.masticshelf.kernel.residency.ResidencyPlan;
 import org.masticshelf.kernel.residency.ResidencyPlanner;
 import org.masticshelf.kernel.residency.ResidencyStep;
+import org.masticshelf.kernel.residency.StoreThroughput;
 import org.masticshelf.kernel.residency.WaitingDemand;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -46,6 +47,13 @@
  */
 public final class Placement {
 
+	/**
+	 * The minimum time between two planning rounds. Requests that begin to wait at many
+	 * daemons at once are planned for together, as the cost of a round grows with engines
+	 * and models.
+	 */
+	private static final long MINIMUM_ROUND_MILLISECONDS = 20;
+
 	/** The interval of planning rounds while nothing changes. */
 	private static final long ROUND_MILLISECONDS = 100;
 
@@ -87,6 +95,8 @@
 
 	private final Map<String, Long> readyIn = new HashMap<>();
 
+	private StoreThroughput storeThroughput;
+
 	private final StepExecution execution;
 
 	private final Semaphore wakeUpPermits = new Semaphore(0);
@@ -121,6 +131,7 @@
 		this.settings = settings;
 		this.log = log;
 		this.onChange = onChange;
+		this.storeThroughput = new StoreThroughput(settings.storeLoadsAtOnce());
 		this.execution = new StepExecution(this, access.orders(), clock, settings.holder(), log, this::announceChange);
 	}
 
@@ -149,6 +160,7 @@
 					this.wakeUpPermits.drainPermits();
 				}
 				planRound();
+				TimeUnit.MILLISECONDS.sleep(MINIMUM_ROUND_MILLISECONDS);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -250,6 +262,43 @@
 		}
 	}
 
+	/**
+	 * Counts the loads from the weight store in progress.
+	 * @return the number of engines that load from it
+	 */
+	synchronized int countStoreLoads() {
+		int count = 0;
+		for (EngineState state : this.engines.values()) {
+			ResidencyStep.Load load = state.modelStep();
+			count += (load != null && load.source() == ResidencyStep.Source.STORE) ? 1 : 0;
+		}
+		return count;
+	}
+
+	/**
+	 * Learns from a completed load how many loads the weight store serves at full speed.
+	 * @param load the load
+	 * @param tookMilliseconds how long it took
+	 * @param concurrentLoads the mean number of loads in progress meanwhile
+	 */
+	void learnStoreLoad(ResidencyStep.Load load, long tookMilliseconds, double concurrentLoads) {
+		StoreThroughput before;
+		StoreThroughput after;
+		synchronized (this) {
+			before = this.storeThroughput;
+			after = before.learn(tookMilliseconds, load.milliseconds(), concurrentLoads);
+			this.storeThroughput = after;
+		}
+		if (!after.equals(before)) {
+			this.log.accept(Event.named("placement.store_throughput")
+				.with("loads", after.loadsAtFullSpeed())
+				.with("before", before.loadsAtFullSpeed())
+				.with("took_ms", tookMilliseconds)
+				.with("nominal_ms", load.milliseconds())
+				.with("concurrent", concurrentLoads));
+		}
+	}
+
 	private void refreshEngines(ServedTables currentTables, long now, List<Runnable> actions) {
 		Set<String> present = new HashSet<>();
 		for (ServedPool pool : currentTables.pools().values()) {
@@ -309,7 +358,7 @@
 		usable.sort(Comparator.comparing(EngineSnapshot::identifier));
 		ResidencyPlan plan = ResidencyPlanner
 			.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool), demand.rates(pool), complete,
-					storeLoads, this.settings.storeLoadsAtOnce(), (storeLoads > 0) ? nextStoreLoad : 0));
+					storeLoads, this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0));
 		plan.readyInMilliseconds()
 			.forEach((model, readyInMilliseconds) -> this.readyIn.put(PeerRegistry.estimateKey(pool, model),
 					readyInMilliseconds));
@@ -379,8 +428,8 @@
 	 * @param holder the name of this daemon in orders
 	 * @param settleMilliseconds how long a new tenure waits before its first order, so
 	 * that orders of the previous tenure have arrived
-	 * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves
-	 * at full speed
+	 * @param storeLoadsAtOnce the first estimate of the number of concurrent loads that
+	 * the weight store serves at full speed
 	 */
 	public record Settings(String holder, long settleMilliseconds, int storeLoadsAtOnce) {
 	}
