Replicas of overloaded models come before rare models

Change: a model whose replicas get 9 requests a second each, or for which three requests wait although it is loaded, gets a replica before rare models; an engine that has a copy and is about to be free is reserved for it. Tests: loadsReplicaOfOverloadedModelBeforeRareModels (two of its cases failed with the planner before), reservesEngineForReplicaOfOverloadedModel.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/EngineCapacity.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/EngineCapacity.java
@@ -74,7 +74,15 @@
 		double rate = requestsPerSecond(model);
 		int needed = (int) Math.ceil(rate / REPLICA_REQUESTS_PER_SECOND);
 		int withSpare = (rate >= SPARE_REPLICA_REQUESTS_PER_SECOND) ? Math.max(2, needed) : needed;
-		return Math.min(withSpare, (this.input.engines().size() + 1) / 2);
+		return Math.min(withSpare, maximumReplicas());
+	}
+
+	/**
+	 * Returns how many replicas a model may have at most.
+	 * @return half of the engines, rounded up
+	 */
+	int maximumReplicas() {
+		return (this.input.engines().size() + 1) / 2;
 	}
 
 	/**
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -23,13 +23,15 @@
  * model order at a time and accepts no adapter order meanwhile.
  * <p>
  * Adapters that requests wait for come first, because they load at once (see
- * {@link AdapterPlanner}). Models that no engine holds follow in the order of
- * {@link MissingModels}. Next come further replicas of busy models, in failure domains
- * that have none. Last, while there are no requests, models that no engine has are
- * fetched ahead of demand, so that they are on a disk. Room is made by evicting the
- * models that have been idle longest, never a model with running or waiting requests
- * unless it has spare replicas, and never the only replica of a busy model for one that
- * is not busy. Slow loads avoid engines whose adapters are requested.
+ * {@link AdapterPlanner}). Replicas of overloaded models follow: when demand moves to a
+ * model that has few of them, it refuses far more requests than one rare model, and the
+ * many rare ones would take every engine that becomes free. Models that no engine holds
+ * come next, in the order of {@link MissingModels}, and then further replicas of busy
+ * models, in failure domains that have none. Last, while there are no requests, models
+ * that no engine has are fetched ahead of demand, so that they are on a disk. Room is
+ * made by evicting the models that have been idle longest, never a model with running or
+ * waiting requests unless it has spare replicas, and never the only replica of a busy
+ * model for one that is not busy. Slow loads avoid engines whose adapters are requested.
  * <p>
  * An instance computes a single plan. Not thread-safe.
  */
@@ -55,6 +57,15 @@
 	 */
 	static final double FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND = 2;
 
+	/** Requests per second and replica from which a model is overloaded. */
+	static final double OVERLOADED_REQUESTS_PER_SECOND = 9;
+
+	/**
+	 * Requests that wait for a loaded model, because all of its replicas are full, from
+	 * which it is overloaded.
+	 */
+	static final int OVERLOADED_WAITING_REQUESTS = 3;
+
 	private static final long UNLOAD_MILLISECONDS = 100;
 
 	private final ResidencyInput input;
@@ -126,6 +137,7 @@
 	public static ResidencyPlan plan(ResidencyInput input) {
 		ResidencyPlanner planner = new ResidencyPlanner(input);
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
+		planner.planOverloadedModels();
 		planner.planMissingModels();
 		planner.estimateAdapterReadiness();
 		planner.planReplicas();
@@ -133,6 +145,31 @@
 		return new ResidencyPlan(planner.steps, planner.readyIn);
 	}
 
+	private void planOverloadedModels() {
+		Map<String, Integer> waiting = new HashMap<>();
+		for (WaitingDemand demand : this.input.waiting()) {
+			if (demand.loadable().adapter() == null) {
+				waiting.merge(demand.loadable().model(), demand.count(), Integer::sum);
+			}
+		}
+		List<String> overloaded = new ArrayList<>();
+		this.input.requestsPerSecond().forEach((model, rate) -> {
+			if (isOverloaded(model, rate, waiting.getOrDefault(model, 0))) {
+				overloaded.add(model);
+			}
+		});
+		overloaded.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
+			.thenComparing((model) -> model));
+		overloaded.forEach((model) -> planLoad(profile(model), Reason.OVERLOADED));
+	}
+
+	private boolean isOverloaded(String model, double rate, int waiting) {
+		int count = this.replicas.getOrDefault(model, 0);
+		boolean mayGrow = count > 0 && count < this.capacity.maximumReplicas()
+				&& rate >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND && this.input.models().containsKey(model);
+		return mayGrow && (rate / count >= OVERLOADED_REQUESTS_PER_SECOND || waiting >= OVERLOADED_WAITING_REQUESTS);
+	}
+
 	private void planMissingModels() {
 		for (String model : new MissingModels(this.input, this.capacity, this.replicas.keySet(), this.modelsOnEngines)
 			.loadOrder()) {
@@ -216,8 +253,8 @@
 		List<EngineSnapshot> engines = onlyWithCopy ? withCopy : this.input.engines();
 		Candidate best = null;
 		for (EngineSnapshot engine : engines) {
-			boolean eligible = !engine.loaded().containsKey(profile.name())
-					&& (reason == Reason.WAITED_FOR || isFree(engine));
+			boolean eligible = !engine.holdsOrLoads(profile.name())
+					&& (reason == Reason.WAITED_FOR || reason == Reason.OVERLOADED || isFree(engine));
 			Candidate candidate = eligible ? candidate(engine, profile, reason) : null;
 			if (candidate != null && (best == null || candidate.isPreferredTo(best))) {
 				best = candidate;
@@ -257,7 +294,7 @@
 
 	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
-		if (reason == Reason.BUSY && source == ResidencyStep.Source.STORE
+		if (reason.isForReplica() && source == ResidencyStep.Source.STORE
 				&& this.capacity.requestsPerSecond(profile.name())
 						/ this.replicas.getOrDefault(profile.name(), 1) < STORE_LOAD_REQUESTS_PER_SECOND) {
 			return null;
@@ -276,7 +313,7 @@
 			return null;
 		}
 		readyIn += eviction.models().isEmpty() ? 0 : UNLOAD_MILLISECONDS;
-		long domainPenalty = (reason == Reason.BUSY && hasReplicaIn(engine.failureDomain(), profile.name()))
+		long domainPenalty = (reason.isForReplica() && hasReplicaIn(engine.failureDomain(), profile.name()))
 				? SAME_DOMAIN_PENALTY_MILLISECONDS : 0;
 		return new Candidate(engine, source, eviction.models(), eviction.loss(), readyIn,
 				readyIn + adapterPenalty + domainPenalty);
@@ -299,7 +336,7 @@
 	private double maximumLoss(ModelProfile profile, Reason reason) {
 		return switch (reason) {
 			case WAITED_FOR, ANTICIPATED -> Double.MAX_VALUE;
-			case BUSY ->
+			case BUSY, OVERLOADED ->
 				this.capacity.requestsPerSecond(profile.name()) / (this.replicas.getOrDefault(profile.name(), 0) + 1);
 		};
 	}
@@ -336,11 +373,18 @@
 		/** Requests wait for it. */
 		WAITED_FOR,
 
+		/** Its replicas refuse requests, or are about to. */
+		OVERLOADED,
+
 		/** Its replicas cannot keep up with its request rate. */
 		BUSY,
 
 		/** It may be requested, and there is no other work. */
-		ANTICIPATED
+		ANTICIPATED;
+
+		private boolean isForReplica() {
+			return this == BUSY || this == OVERLOADED;
+		}
 
 	}
 
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -235,6 +235,42 @@
 	}
 
 	/** A failure domain is cut off together with all replicas of a busy model. */
+	/**
+	 * Replays the move of demand to a model with one replica, while requests for rare
+	 * models would take each engine that becomes free.
+	 * @param rate the requests per second for the model
+	 * @param waiting the requests that wait for it
+	 * @param expected the model that is loaded on the free engine
+	 */
+	@ParameterizedTest
+	@CsvSource({ "20, 0, shifted", "8, 0, rare", "4, 3, shifted", "4, 2, rare", "1, 3, rare" })
+	void loadsReplicaOfOverloadedModelBeforeRareModels(double rate, int waiting, String expected) {
+		addModel("shifted", 0);
+		addModel("rare", 0);
+		addEngine("one", Map.of("shifted", inUse()), Set.of("shifted"), 1_000, "other");
+		addEngine("two", Map.of(), Set.of("shifted", "rare"));
+		addEngine("three", Map.of(), Set.of(), 9_000, "other");
+		this.rates.put("shifted", rate);
+		addWaitingRequest("rare", 10);
+		for (int request = 0; request < waiting; request++) {
+			addWaitingRequest("shifted", 100);
+		}
+		Truth.assertThat(plan().steps()).containsExactly(loadStep("two", expected, ResidencyStep.Source.DISK));
+	}
+
+	/** An engine that is about to be free and has a copy comes before a slow load. */
+	@Test
+	void reservesEngineForReplicaOfOverloadedModel() {
+		addModel("shifted", 0);
+		addModel("rare", 0);
+		addEngine("one", Map.of("shifted", inUse()), Set.of("shifted"), 1_000, "other");
+		addEngine("two", Map.of(), Set.of("shifted"), 300, "other");
+		addEngine("three", Map.of(), Set.of("rare"));
+		this.rates.put("shifted", 20.0);
+		addWaitingRequest("rare", 10);
+		Truth.assertThat(plan().steps()).containsExactly(loadStep("three", "rare", ResidencyStep.Source.DISK));
+	}
+
 	@Test
 	void placesFurtherReplicaInAnotherFailureDomain() {
 		addModel("hot", 0);
