Messages to peers are encoded once a round

Cause, by reading: every daemon built and encoded the message to each of its peers anew, with copies of the latest messages of all peers, of spending and of running requests, so that a round cost in proportion to the square of their number over the deployment. Change: PeerBroadcast builds a round's messages; all peers that nothing else concerns get the same bytes, under one number a round.

--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -20,6 +20,7 @@
 import org.masticshelf.serving.endpoint.EndpointDirectory;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
+import org.masticshelf.serving.peer.PeerBroadcast;
 import org.masticshelf.serving.peer.PeerLink;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
@@ -186,24 +187,23 @@
 		}
 		PeerLink openLink = this.link;
 		if (openLink != null) {
-			addresses.forEach((incarnation, address) -> sendUpdate(openLink, incarnation, address, decided, all));
+			PeerBroadcast broadcast = broadcast(decided, recentMessages);
+			addresses.forEach((incarnation, address) -> {
+				byte[] message = broadcast.messageTo(incarnation, all);
+				if (message != null) {
+					openLink.send(address, message);
+				}
+			});
 		}
 	}
 
-	private void sendUpdate(PeerLink openLink, String incarnation, String address,
-			PeerMessage.@Nullable Placement decided, boolean all) {
-		boolean toPlacingPeer = incarnation.equals(placingPeer());
-		PeerMessage.Placement told = (decided != null) ? decided.withEstimates(estimatesFor(incarnation, decided))
-				: null;
-		if (!all && !toPlacingPeer && (told == null || told.isEmpty())) {
-			return;
-		}
-		PeerMessage message = new PeerMessage(this.components.members().self().incarnation(),
+	private PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages) {
+		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
-				this.components.grants().spent(), this.components.loads().runningRequests(),
-				toPlacingPeer ? this.components.waitingRequests().summary() : List.of(),
-				toPlacingPeer ? this.components.rates().requestsPerSecond() : Map.of(), told);
-		openLink.send(address, message);
+				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(), null);
+		return new PeerBroadcast(common,
+				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
+						this.components.rates().requestsPerSecond(), decided, recentMessages));
 	}
 
 	private @Nullable String placingPeer() {
@@ -215,21 +215,6 @@
 		return (holder != null) ? holder.incarnation() : null;
 	}
 
-	private Map<String, Long> estimatesFor(String incarnation, PeerMessage.Placement decided) {
-		Map<String, Long> estimates = new HashMap<>();
-		PeerMessage lastMessage = this.components.peers().recentMessages().get(incarnation);
-		if (lastMessage != null) {
-			for (PeerMessage.Waiting waiting : lastMessage.waiting()) {
-				String key = PeerRegistry.estimateKey(waiting.pool(), waiting.loadable());
-				Long readyInMilliseconds = decided.readyIn().get(key);
-				if (readyInMilliseconds != null) {
-					estimates.put(key, readyInMilliseconds);
-				}
-			}
-		}
-		return estimates;
-	}
-
 	private void receive(PeerMessage message) {
 		if (message.incarnation().equals(this.components.members().self().incarnation())) {
 			return;
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerLink.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerLink.java
@@ -63,10 +63,9 @@
 	/**
 	 * Sends a message to a peer. Failures are logged.
 	 * @param address the IP number and port of the peer
-	 * @param message the message
+	 * @param bytes the encoded message
 	 */
-	public void send(String address, PeerMessage message) {
-		byte[] bytes = Json.toBytes(message);
+	public void send(String address, byte[] bytes) {
 		if (bytes.length > MAXIMUM_DATAGRAM_BYTES) {
 			this.log.accept(Event.named("peer.message_too_long").with("bytes", bytes.length));
 			return;
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.jspecify.annotations.Nullable;
@@ -82,15 +81,6 @@
 			return new Placement(this.fencing, this.engines, estimates);
 		}
 
-		/**
-		 * Returns whether this tells nothing but who places.
-		 * @return whether there are neither holdings nor estimates
-		 */
-		@JsonIgnore
-		public boolean isEmpty() {
-			return this.engines.isEmpty() && this.readyIn.isEmpty();
-		}
-
 	}
 
 	/**
