A failed exchange names the run of the endpoint and the segments of its prompt

The line request.exchange_failed now has the start time of the endpoint's run, the shared segments of the prompt, and how long the answer had been under way; what ended an exchange is told apart (timed out, disconnected, unusable answer). No decision is changed.

--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedRequest.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedRequest.java
@@ -19,13 +19,16 @@
  * @param outputTokens the maximum number of tokens to generate, negative if unknown
  * @param sharedPrompt identifies the part of the prompt that other requests share, empty
  * for none
+ * @param sharedSegments the identifiers of the segments of the prompt that other requests
+ * may hold, too, in order; the last segment belongs to the request alone
  * @param resumeAfter the last event that the caller received, {@code null} for none
  * @param headers the headers to forward
  * @param body the complete body
  */
 public record ServedRequest(String identifier, String method, String target, String host, @Nullable String key,
 		long deadlineMilliseconds, @Nullable LoadableName loadable, long promptTokens, long outputTokens,
-		String sharedPrompt, @Nullable String resumeAfter, List<Header> headers, byte[] body) {
+		String sharedPrompt, List<String> sharedSegments, @Nullable String resumeAfter, List<Header> headers,
+		byte[] body) {
 
 	/**
 	 * Returns the tokens of prompt and output together.
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
 import org.masticshelf.serving.upstream.EndpointProtocol;
 import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
+import org.masticshelf.serving.upstream.UpstreamException;
 
 /**
  * Sends a request to one endpoint and reads its answer.
@@ -101,17 +103,23 @@
 		}
 		catch (SocketTimeoutException ex) {
 			keepAliveSeconds = 0;
-			return new ExchangeResult.Lost("no byte in time", true);
+			return new ExchangeResult.Lost("no byte in time", ExchangeResult.Lost.Kind.TIMED_OUT);
 		}
 		catch (IOException ex) {
 			keepAliveSeconds = 0;
-			return new ExchangeResult.Lost(String.valueOf(ex.getMessage()), false);
+			return new ExchangeResult.Lost(String.valueOf(ex.getMessage()), kindOf(ex));
 		}
 		finally {
 			this.connections.release(endpoint, connection, keepAliveSeconds);
 		}
 	}
 
+	private static ExchangeResult.Lost.Kind kindOf(IOException failure) {
+		boolean disconnected = failure instanceof SocketException
+				|| (failure instanceof UpstreamException upstream && upstream.isDisconnected());
+		return disconnected ? ExchangeResult.Lost.Kind.DISCONNECTED : ExchangeResult.Lost.Kind.UNUSABLE;
+	}
+
 	private byte[] encodeHead() {
 		ServedRequest request = this.outbound.request();
 		StringBuilder head = new StringBuilder(512).append(request.method())
@@ -166,7 +174,8 @@
 		}
 		byte[] body = readBody(connection);
 		if (!successful && STATUSES_THAT_SUGGEST_NOT_RUN.contains(answer.status())) {
-			return new ExchangeResult.Lost("status " + answer.status() + " without a word that nothing ran", false);
+			return new ExchangeResult.Lost("status " + answer.status() + " without a word that nothing ran",
+					ExchangeResult.Lost.Kind.UNUSABLE);
 		}
 		return new ExchangeResult.Answered(answer.status(), forwardedHeaders(answer), body);
 	}
@@ -176,7 +185,7 @@
 		EventSplitter splitter = new EventSplitter();
 		List<Header> headers = forwardedHeaders(answer);
 		byte[] buffer = new byte[BUFFER_BYTES];
-		this.limits.recordProgress();
+		this.limits.recordHead();
 		while (true) {
 			int count = connection.read(buffer,
 					relay.isStarted() ? this.limits.gapMilliseconds() : this.limits.firstByteMilliseconds());
@@ -185,12 +194,12 @@
 			}
 			List<StreamEvent> events = splitter.add(buffer, count);
 			if (events.stream().anyMatch(StreamEvent::hasField)) {
-				this.limits.recordProgress();
+				this.limits.recordEvent();
 			}
 			relay.forward(headers, events);
 		}
 		if (splitter.hasPartialEvent()) {
-			throw new IOException("the stream ended within an event");
+			throw UpstreamException.disconnected("the stream ended within an event");
 		}
 		relay.end(headers);
 		return new ExchangeResult.Streamed();
@@ -263,10 +272,13 @@
 		long gapMilliseconds();
 
 		/**
-		 * Records that the head of an answer or an event has arrived. Bytes that complete
-		 * neither do not extend a timeout.
+		 * Records that the head of a stream has arrived. Bytes that complete neither a
+		 * head nor an event do not extend a timeout.
 		 */
-		void recordProgress();
+		void recordHead();
+
+		/** Records that an event with a field has arrived. */
+		void recordEvent();
 
 		/**
 		 * Returns the time that is left for the whole exchange.
--- a/serving/src/main/java/org/masticshelf/serving/request/ExchangeResult.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ExchangeResult.java
@@ -45,9 +45,32 @@
 	 * No complete answer was received, and the request may have run.
 	 *
 	 * @param reason the cause
-	 * @param timedOut whether a timeout ended the exchange
+	 * @param kind what ended the exchange
 	 */
-	record Lost(String reason, boolean timedOut) implements ExchangeResult {
+	record Lost(String reason, Kind kind) implements ExchangeResult {
+
+		/**
+		 * Returns whether a timeout ended the exchange.
+		 * @return whether it timed out
+		 */
+		boolean timedOut() {
+			return this.kind == Kind.TIMED_OUT;
+		}
+
+		/** What ended an exchange without a complete answer. */
+		enum Kind {
+
+			/** No byte arrived in time. */
+			TIMED_OUT,
+
+			/** The connection ended or was reset, as when the endpoint crashes. */
+			DISCONNECTED,
+
+			/** The endpoint sent bytes that are no usable answer. */
+			UNUSABLE
+
+		}
+
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -79,6 +79,12 @@
 
 	private int attempts;
 
+	/**
+	 * When the current endpoint sent its first event, in milliseconds since the request
+	 * arrived, negative if it has sent none.
+	 */
+	private long answeringSince = -1;
+
 	Forwarding(RequestContext context, ServedRequest request, CallerChannel caller, long arrivedNanoseconds) {
 		this.context = context;
 		this.request = request;
@@ -193,6 +199,7 @@
 		ServedOrganisation payer = admitted().organisation();
 		ServedRoute route = route();
 		this.sends++;
+		this.answeringSince = -1;
 		this.context.log()
 			.accept(event("request.sent").with("endpoint", endpoint.identifier())
 				.with("sending", this.sends)
@@ -319,7 +326,10 @@
 		this.context.retries().recordExchange(pool(), false);
 		this.context.log()
 			.accept(event("request.exchange_failed").with("endpoint", endpoint.identifier())
+				.with("started_at", endpoint.startedAt())
 				.with("reason", reason)
+				.with("answering_ms", (this.answeringSince < 0) ? -1 : elapsed() - this.answeringSince)
+				.with("segments", this.request.sharedSegments())
 				.with("ejected_ms", ejectedMilliseconds));
 	}
 
@@ -418,8 +428,16 @@
 		}
 
 		@Override
-		public void recordProgress() {
+		public void recordHead() {
+			this.progressAt = elapsed();
+		}
+
+		@Override
+		public void recordEvent() {
 			this.progressAt = elapsed();
+			if (Forwarding.this.answeringSince < 0) {
+				Forwarding.this.answeringSince = this.progressAt;
+			}
 		}
 
 		@Override
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnection.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnection.java
@@ -192,7 +192,8 @@
 				throw new UpstreamException("head above " + MAXIMUM_HEAD_BYTES + " bytes");
 			}
 			if (next < 0) {
-				throw new UpstreamException((length == 0) ? "connection ended" : "connection ended within a line");
+				throw UpstreamException
+					.disconnected((length == 0) ? "connection ended" : "connection ended within a line");
 			}
 			if (next == '\n') {
 				int end = (length > 0 && line[length - 1] == '\r') ? length - 1 : length;
@@ -304,7 +305,7 @@
 		}
 		int count = this.input.read(buffer, 0, (int) Math.min(buffer.length, this.remaining));
 		if (count < 0) {
-			throw new UpstreamException("body ended early");
+			throw UpstreamException.disconnected("body ended early");
 		}
 		this.remaining -= count;
 		return count;
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -55,7 +55,7 @@
 
 	private static RequestCodec.Decoded decode(RequestCodec.RawRequest raw) {
 		return new RequestCodec.Decoded.Valid(new ServedRequest("id", raw.method(), raw.target(), "host", null,
-				Long.MAX_VALUE, null, -1, -1, "", null, raw.headers(), raw.body()));
+				Long.MAX_VALUE, null, -1, -1, "", List.of(), null, raw.headers(), raw.body()));
 	}
 
 	private Socket connect(String text) throws IOException {
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -119,8 +119,15 @@
 	}
 
 	private void send(@Nullable LoadableName loadable, @Nullable String key) {
-		ServedRequest request = new ServedRequest("r", "POST", "/a/b?c", "host", key, 2_000, loadable, 10, 10, "", null,
+		send(request(loadable, key, List.of()));
+	}
+
+	private static ServedRequest request(@Nullable LoadableName loadable, @Nullable String key, List<String> segments) {
+		return new ServedRequest("r", "POST", "/a/b?c", "host", key, 2_000, loadable, 10, 10, "", segments, null,
 				List.of(new Header("Id", "r")), "body".getBytes(StandardCharsets.UTF_8));
+	}
+
+	private void send(ServedRequest request) {
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
 				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests, this.rates,
 				new RetryBudgets(), this.peerRegistry, "domain", () -> this.phase, this.clock,
@@ -408,6 +415,21 @@
 		Truth.assertThat(this.caller.body()).isEqualTo("id: 1\n\n");
 	}
 
+	/** What requests have in common that crash engines is found by these fields. */
+	@Test
+	void failedExchangeNamesSegmentsAndRunOfEndpoint() throws IOException {
+		route(Execution.STREAM, 1, engine(), List.of());
+		list(endpoint("a", "<close>").toEndpoint("m"));
+		send(request(LoadableName.ofModel("m"), null, List.of("5c", "91")));
+		Event failure = this.events.stream()
+			.filter((event) -> event.name().equals("request.exchange_failed"))
+			.findFirst()
+			.orElseThrow();
+		Truth.assertThat(failure.field("segments")).isEqualTo("[5c, 91]");
+		Truth.assertThat(failure.field("started_at")).isEqualTo("1");
+		Truth.assertThat(failure.field("answering_ms")).isEqualTo("-1");
+	}
+
 	private static EngineProfile engine() {
 		return new EngineProfile(1_000, 8, 100_000, 1, Map.of());
 	}
