--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -13,6 +13,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -128,11 +129,15 @@
 	}
 
 	private void send(ServedRequest request) {
+		forward(request, this.caller);
+	}
+
+	private void forward(ServedRequest request, RecordingCaller requestCaller) {
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
 				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests, this.rates,
 				new RetryBudgets(), this.peerRegistry, "domain", () -> this.phase, this.clock,
 				new ServingMetrics(new PrometheusRegistry()), this::log);
-		new Forwarding(context, request, this.caller, System.nanoTime()).run();
+		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
 
 	private int receivedRequests() {
@@ -430,6 +435,31 @@
 		Truth.assertThat(failure.field("answering_ms")).isEqualTo("-1");
 	}
 
+	/** Guards against requests with one segment crashing engine after engine (BUDGET). */
+	@Test
+	@Tag("known-red")
+	void segmentThatCrashedThreeEnginesReachesNoFurtherOne() throws IOException {
+		String wholeStream = STREAM + chunk("id: 1\n\n") + "0\r\n\r\n";
+		route(Execution.STREAM, 1, engine(), List.of());
+		ScriptedEndpoint last = endpoint("d", wholeStream, wholeStream);
+		list(last.toEndpoint("m"));
+		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
+		for (String name : List.of("a", "b", "c")) {
+			list(endpoint(name, "<close>").toEndpoint("m"));
+			Truth.assertThat(forward("system", "deadly").status()).isEqualTo(502);
+		}
+		list(last.toEndpoint("m"));
+		Truth.assertThat(forward("deadly", "subject").status()).isEqualTo(503);
+		Truth.assertThat(last.heads()).hasSize(1);
+		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
+	}
+
+	private RecordingCaller forward(String... segments) {
+		RecordingCaller segmentCaller = new RecordingCaller();
+		forward(request(LoadableName.ofModel("m"), null, List.of(segments)), segmentCaller);
+		return segmentCaller;
+	}
+
 	private static EngineProfile engine() {
 		return new EngineProfile(1_000, 8, 100_000, 1, Map.of());
 	}
