Segments of prompts that crash engines are found over all daemons and refused

Callers saw a tenth to a quarter of all requests fail for as long as requests with a certain segment came: each of them crashed another engine with everything on it.

Change: a request whose connection ends before its answer is under way leaves the run of its endpoint and its shared segments as evidence. Daemons pass all evidence on, to eight peers when it changes and otherwise to one each 150 ms, so that a started daemon knows it too. An answer clears the segments of its request. CrashAttribution blames the segment with the most unexplained crashes; three (four if it was ever answered) refuse its requests at once with 503 and the time at which the evidence ends; two are enough not to repeat a request that broke. Evidence ages within 300 s and is bounded in number. No call to the store.

--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -0,0 +1,155 @@
+package org.masticshelf.kernel.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Attributes crashes of endpoints to segments of the prompts that they had just been
+ * given.
+ * <p>
+ * Designed for segments that crash every endpoint that answers them, while their requests
+ * arrive at all daemons among sound ones that share their other segments and are on the
+ * crashing endpoints, too. A request that is answered clears its segments of all earlier
+ * crashes. Of the segments that remain, the most blamed one explains its crashes, which
+ * then no longer speak against those beside it. A segment that is blamed wrongly loses
+ * that place as soon as the true one crashes endpoints without it.
+ * <p>
+ * Endpoints that crash at the same moment may have a cause outside their requests, and
+ * repeated crashes at one address may be the fault of that instance. The former do not
+ * implicate a segment that was answered before; the latter, like such an answer, need one
+ * crash more. Stateless and thread-safe.
+ */
+public final class CrashAttribution {
+
+	/** The time of a segment that has never been answered. */
+	public static final long NEVER = Long.MIN_VALUE;
+
+	/** The crashes after which a segment is suspected. */
+	static final int SUSPICIOUS_CRASHES = 2;
+
+	/** The crashes after which a segment is implicated. */
+	static final int IMPLICATING_CRASHES = 3;
+
+	/** Crashes within this time may have a common cause outside the requests. */
+	static final long SIMULTANEOUS_MILLISECONDS = 250;
+
+	/**
+	 * The blame, in crashes, of a segment that was never answered: sound segments mostly
+	 * have been.
+	 */
+	private static final double NEVER_ANSWERED_BLAME = 1.5;
+
+	/**
+	 * The blame, in crashes, of each place further behind in the prompt: what stands
+	 * behind is shared by fewer sound requests.
+	 */
+	private static final double POSITION_BLAME = 1;
+
+	private static final int MAXIMUM_BLAMED_POSITION = 3;
+
+	private CrashAttribution() {
+	}
+
+	/**
+	 * Judges all segments.
+	 * @param crashes the recent crashes, each run once
+	 * @param answeredAt returns when a request with a segment last began to be answered,
+	 * monotonic milliseconds, {@link #NEVER} if it never did
+	 * @return the verdicts on the segments that are suspected or implicated
+	 */
+	public static Map<String, SegmentVerdict> judge(Collection<EndpointCrash> crashes,
+			ToLongFunction<String> answeredAt) {
+		Map<String, Suspect> suspects = new HashMap<>();
+		for (EndpointCrash crash : crashes) {
+			crash.segments().forEach((segment, position) -> {
+				long answered = answeredAt.applyAsLong(segment);
+				if (answered < crash.at()) {
+					suspects.computeIfAbsent(segment, (key) -> new Suspect(key, position, answered)).crashes.add(crash);
+				}
+			});
+		}
+		suspects.values().removeIf((suspect) -> suspect.crashes.size() < SUSPICIOUS_CRASHES);
+		Map<String, SegmentVerdict> verdicts = new HashMap<>();
+		Suspect mostBlamed = findMostBlamed(suspects.values());
+		while (mostBlamed != null) {
+			suspects.remove(mostBlamed.segment);
+			verdicts.put(mostBlamed.segment, mostBlamed.implicate());
+			Set<EndpointCrash> explained = new HashSet<>(mostBlamed.crashes);
+			suspects.values().forEach((suspect) -> suspect.crashes.removeIf(explained::contains));
+			mostBlamed = findMostBlamed(suspects.values());
+		}
+		for (Suspect suspect : suspects.values()) {
+			if (suspect.crashes.size() >= SUSPICIOUS_CRASHES) {
+				verdicts.put(suspect.segment, new SegmentVerdict.Suspected(suspect.latestFirst()));
+			}
+		}
+		return verdicts;
+	}
+
+	private static @Nullable Suspect findMostBlamed(Collection<Suspect> suspects) {
+		return suspects.stream()
+			.filter((suspect) -> suspect.isImplicatedBy(suspect.crashes))
+			.max(Comparator.comparingDouble(Suspect::blame)
+				.thenComparing((suspect) -> suspect.position)
+				.thenComparing((suspect) -> suspect.segment))
+			.orElse(null);
+	}
+
+	/** A segment with the unexplained crashes since its last answer. */
+	private static final class Suspect {
+
+		private final String segment;
+
+		private final int position;
+
+		private final boolean answeredBefore;
+
+		private final List<EndpointCrash> crashes = new ArrayList<>();
+
+		private Suspect(String segment, int position, long answeredAt) {
+			this.segment = segment;
+			this.position = position;
+			this.answeredBefore = answeredAt != NEVER;
+		}
+
+		private double blame() {
+			return this.crashes.size() + (this.answeredBefore ? 0 : NEVER_ANSWERED_BLAME)
+					+ POSITION_BLAME * Math.min(this.position, MAXIMUM_BLAMED_POSITION);
+		}
+
+		private boolean isImplicatedBy(List<EndpointCrash> considered) {
+			long addresses = considered.stream().map(EndpointCrash::address).distinct().count();
+			int needed = IMPLICATING_CRASHES + (this.answeredBefore ? 1 : 0) + ((addresses == 1) ? 1 : 0);
+			if (considered.size() < needed) {
+				return false;
+			}
+			long first = considered.stream().mapToLong(EndpointCrash::at).min().orElseThrow();
+			long last = considered.stream().mapToLong(EndpointCrash::at).max().orElseThrow();
+			return !this.answeredBefore || last - first > SIMULTANEOUS_MILLISECONDS;
+		}
+
+		private SegmentVerdict.Implicated implicate() {
+			List<EndpointCrash> latestFirst = latestFirst();
+			int needed = IMPLICATING_CRASHES;
+			while (needed < latestFirst.size() && !isImplicatedBy(latestFirst.subList(0, needed))) {
+				needed++;
+			}
+			return new SegmentVerdict.Implicated(latestFirst, needed);
+		}
+
+		private List<EndpointCrash> latestFirst() {
+			return this.crashes.stream().sorted(Comparator.comparingLong(EndpointCrash::at).reversed()).toList();
+		}
+
+	}
+
+}
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -1,9 +1,11 @@
 package org.masticshelf.serving;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +28,7 @@
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.peer.PeerSelection;
 import org.masticshelf.serving.placement.Placement;
+import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.WaitingRequests;
 import org.masticshelf.transport.log.EventLog;
@@ -58,6 +61,9 @@
 	 */
 	private static final long FULL_PLACEMENT_INTERVAL_MILLISECONDS = 900;
 
+	/** The number of peers that learn at once of new evidence on crashes. */
+	private static final int CHANGED_EVIDENCE_PEERS = 8;
+
 	/** The time within which changes are combined into one message. */
 	private static final long MESSAGE_DELAY_MILLISECONDS = 5;
 
@@ -82,8 +88,12 @@
 
 	private volatile boolean leased;
 
+	private final Random random = new Random();
+
 	private long updatesSentAt;
 
+	private long evidenceSentAt;
+
 	private long fullPlacementSentAt;
 
 	PeerExchange(Components components, MonotonicClock clock, ScheduledExecutorService scheduler) {
@@ -141,6 +151,10 @@
 			this.updatesSentAt = now;
 			sendUpdates(true);
 		}
+		else if (now - this.evidenceSentAt >= MESSAGE_INTERVAL_MILLISECONDS
+				&& this.components.quarantine().hasEvidence()) {
+			sendUpdates(false);
+		}
 	}
 
 	private void updateSilentDomains(long within) {
@@ -187,7 +201,7 @@
 		}
 		PeerLink openLink = this.link;
 		if (openLink != null) {
-			PeerBroadcast broadcast = broadcast(decided, recentMessages);
+			PeerBroadcast broadcast = broadcast(decided, recentMessages, selectEvidencePeers(addresses.keySet()));
 			addresses.forEach((incarnation, address) -> {
 				byte[] message = broadcast.messageTo(incarnation, all);
 				if (message != null) {
@@ -197,13 +211,36 @@
 		}
 	}
 
-	private PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages) {
+	private PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages,
+			Set<String> evidencePeers) {
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
-				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(), null);
+				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(), null,
+				null);
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
-						this.components.rates().requestsPerSecond(), decided, recentMessages));
+						this.components.rates().requestsPerSecond(), decided, recentMessages,
+						this.components.quarantine().evidence(), evidencePeers));
+	}
+
+	/**
+	 * Selects the peers that get the evidence on crashes: several when it has changed,
+	 * otherwise one at a time. They pass it on, so that all daemons have it after a
+	 * number of rounds that grows with the logarithm of theirs.
+	 * @param peers the incarnations of all peers
+	 * @return the incarnations of the selected peers
+	 */
+	private Set<String> selectEvidencePeers(Set<String> peers) {
+		long now = this.clock.milliseconds();
+		boolean changed = this.components.quarantine().takeChanged();
+		boolean due = now - this.evidenceSentAt >= MESSAGE_INTERVAL_MILLISECONDS;
+		if (!(changed || due) || !this.components.quarantine().hasEvidence()) {
+			return Set.of();
+		}
+		this.evidenceSentAt = now;
+		List<String> selected = new ArrayList<>(peers);
+		Collections.shuffle(selected, this.random);
+		return Set.copyOf(selected.subList(0, Math.min(changed ? CHANGED_EVIDENCE_PEERS : 1, selected.size())));
 	}
 
 	private @Nullable String placingPeer() {
@@ -227,6 +264,10 @@
 		}
 		boolean isNewestPlacement = this.components.peers().receive(message);
 		this.components.grants().recordPeerSpending(message.incarnation(), message.spent());
+		PeerMessage.CrashEvidence evidence = message.crashEvidence();
+		if (evidence != null) {
+			this.components.quarantine().merge(message.incarnation(), evidence);
+		}
 		if (isNewestPlacement) {
 			this.components.waitingRequests().signal();
 		}
@@ -276,9 +317,11 @@
 	 * @param waitingRequests the requests that wait for an endpoint
 	 * @param rates the request rates of models
 	 * @param placement the placement, active while this daemon holds the duty
+	 * @param quarantine the segments of prompts that crash endpoints
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
-			EndpointDirectory directory, WaitingRequests waitingRequests, ModelRates rates, Placement placement) {
+			EndpointDirectory directory, WaitingRequests waitingRequests, ModelRates rates, Placement placement,
+			PromptQuarantine quarantine) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -30,6 +30,7 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.placement.Placement;
+import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.RequestContext;
 import org.masticshelf.serving.request.RequestForwarder;
@@ -102,6 +103,8 @@
 
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, this::demandChanged);
 
+	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::evidenceChanged);
+
 	private final DaemonLease lease;
 
 	private final LeasedMembers members;
@@ -144,13 +147,15 @@
 				this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
-		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, duty, this.peerRegistry,
-				this.grants, this.loads, this.directory, this.waitingRequests, this.rates, this.placement), this.clock,
-				this.scheduler);
+		this.peerExchange = new PeerExchange(
+				new PeerExchange.Components(this.members, duty, this.peerRegistry, this.grants, this.loads,
+						this.directory, this.waitingRequests, this.rates, this.placement, this.quarantine),
+				this.clock, this.scheduler);
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.rates, new RetryBudgets(),
-				this.peerRegistry, settings.failureDomain(), () -> this.stopPhase, this.clock,
+				this.peerRegistry, this.quarantine, settings.failureDomain(), () -> this.stopPhase, this.clock,
 				new ServingMetrics(this.metrics), EventLog::info));
+		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		this.directory.addListener(this.waitingRequests::signal);
 		this.directory.addListener(this.placement::wake);
 		this.directory.addRemovalListener((endpoint) -> {
@@ -247,6 +252,10 @@
 		this.peerExchange.scheduleUpdates();
 	}
 
+	private void evidenceChanged() {
+		this.peerExchange.scheduleUpdates();
+	}
+
 	private void demandChanged() {
 		this.placement.wake();
 		this.peerExchange.scheduleUpdates();
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -13,8 +14,9 @@
  * <p>
  * Designed for many daemons: all but a few peers get the same message, which is encoded
  * once, so that the cost of a round hardly grows with their number. The placing daemon
- * alone learns what requests wait for, and each peer only the estimates that its own
- * requests wait for. Not thread-safe.
+ * alone learns what requests wait for, each peer only the estimates that its own requests
+ * wait for, and a few peers at a time the evidence on crashes, which they pass on. Not
+ * thread-safe.
  */
 public final class PeerBroadcast {
 
@@ -44,17 +46,20 @@
 		boolean toPlacingPeer = incarnation.equals(this.details.placingPeer());
 		PeerMessage.Placement decided = this.details.decided();
 		Map<String, Long> estimates = (decided != null) ? estimatesFor(incarnation, decided) : Map.of();
-		boolean concerned = toPlacingPeer || !estimates.isEmpty() || (decided != null && !decided.engines().isEmpty());
+		PeerMessage.CrashEvidence evidence = this.details.evidencePeers().contains(incarnation)
+				? this.details.crashEvidence() : null;
+		boolean concerned = toPlacingPeer || !estimates.isEmpty() || evidence != null
+				|| (decided != null && !decided.engines().isEmpty());
 		if (!always && !concerned) {
 			return null;
 		}
-		if (!toPlacingPeer && estimates.isEmpty()) {
+		if (!toPlacingPeer && estimates.isEmpty() && evidence == null) {
 			return commonBytes();
 		}
 		return Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 				this.common.spent(), this.common.running(), toPlacingPeer ? this.details.waiting() : List.of(),
 				toPlacingPeer ? this.details.rates() : Map.of(),
-				(decided != null) ? decided.withEstimates(estimates) : null));
+				(decided != null) ? decided.withEstimates(estimates) : null, evidence));
 	}
 
 	private byte[] commonBytes() {
@@ -63,7 +68,7 @@
 			PeerMessage.Placement decided = this.details.decided();
 			bytes = Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 					this.common.spent(), this.common.running(), List.of(), Map.of(),
-					(decided != null) ? decided.withEstimates(Map.of()) : null));
+					(decided != null) ? decided.withEstimates(Map.of()) : null, null));
 			this.commonBytes = bytes;
 		}
 		return bytes;
@@ -93,9 +98,12 @@
 	 * @param decided the placement with all estimates, {@code null} unless this daemon
 	 * places
 	 * @param recentMessages the latest message of each peer
+	 * @param crashEvidence what this daemon knows about prompts that crash endpoints
+	 * @param evidencePeers the incarnations of the peers that are told so this time
 	 */
 	public record Details(@Nullable String placingPeer, List<PeerMessage.Waiting> waiting, Map<String, Double> rates,
-			PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages) {
+			PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages,
+			PeerMessage.CrashEvidence crashEvidence, Set<String> evidencePeers) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -20,12 +20,14 @@
  * @param rates its recent requests per second for each model; sent only to the placing
  * daemon
  * @param placement the placement, {@code null} unless the sender is the placing daemon
+ * @param crashEvidence what it knows about prompts that crash endpoints; sent to a few
+ * peers at a time
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
-		@Nullable Placement placement) {
+		@Nullable Placement placement, @Nullable CrashEvidence crashEvidence) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -39,6 +41,44 @@
 		return (map != null) ? Map.copyOf(map) : Map.of();
 	}
 
+	/**
+	 * What a daemon knows about prompts that crash endpoints.
+	 *
+	 * @param crashes the crashes that it saw or learned from peers
+	 * @param answered how long ago it saw an answer to a request with a segment begin, in
+	 * milliseconds by segment
+	 */
+	@JsonInclude(JsonInclude.Include.NON_EMPTY)
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	public record CrashEvidence(List<Crash> crashes, Map<String, Long> answered) {
+
+		/** Creates evidence in which missing parts are empty. */
+		public CrashEvidence {
+			crashes = (crashes != null) ? List.copyOf(crashes) : List.of();
+			answered = orEmpty(answered);
+		}
+
+	}
+
+	/**
+	 * The end of a run of an endpoint.
+	 *
+	 * @param run identifies the run of the endpoint
+	 * @param address the IP address and port of the endpoint
+	 * @param age how long ago it ended, in milliseconds
+	 * @param segments the positions of the shared segments of the prompts that broke with
+	 * it
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	public record Crash(String run, String address, long age, Map<String, Integer> segments) {
+
+		/** Creates a crash in which missing parts are empty. */
+		public Crash {
+			segments = orEmpty(segments);
+		}
+
+	}
+
 	/**
 	 * The requests that wait for a model or adapter.
 	 *
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -11,6 +11,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.kernel.serving.ServedTables;
+import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
 
 /**
  * Decides whether a request may run: resolves its route, organisation and pool in the
@@ -75,6 +76,13 @@
 		if (pool == null) {
 			return new Refused(SERVICE_UNAVAILABLE, "no_pool", RETRY_AFTER_UNCONFIGURED_MILLISECONDS);
 		}
+		if (this.context.quarantine().examine(this.request.sharedSegments()) instanceof Finding.Quarantined finding) {
+			this.context.log()
+				.accept(this.events.apply("request.quarantined")
+					.with("segment", finding.segment())
+					.with("crashes", finding.crashes()));
+			return new Refused(SERVICE_UNAVAILABLE, "prompt_quarantined", finding.remainingMilliseconds());
+		}
 		return spend(tables, route, organisation, pool);
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -14,6 +14,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.caller.CallerChannel;
+import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
@@ -47,6 +48,11 @@
 	/** The retry delay announced after endpoints refused for lack of capacity. */
 	private static final long RETRY_AFTER_FULL_MILLISECONDS = 300;
 
+	/**
+	 * An answer that has been under way for this long is not what crashes its endpoint.
+	 */
+	private static final long HARMLESS_MILLISECONDS = 400;
+
 	/** How often a waiting request checks whether ejected endpoints are back. */
 	private static final long RECHECK_MILLISECONDS = 100;
 
@@ -120,6 +126,10 @@
 			if (endpoint == null) {
 				return;
 			}
+			if (examinePrompt() instanceof Finding.Quarantined finding) {
+				giveUpQuarantined(finding);
+				return;
+			}
 			ExchangeResult result = send(endpoint);
 			if (this.caller.isGone()) {
 				finish("caller_gone", 0);
@@ -239,6 +249,7 @@
 	private boolean handleResult(ServedEndpoint endpoint, ExchangeResult result) {
 		return switch (result) {
 			case ExchangeResult.Streamed streamed -> {
+				recordHarmless();
 				this.context.loads().recordAnswer(endpoint, true);
 				this.context.retries().recordExchange(pool(), true);
 				yield finish("served", 200);
@@ -255,6 +266,9 @@
 
 	private boolean handleAnswer(ServedEndpoint endpoint, ExchangeResult.Answered answered) {
 		boolean failed = answered.status() >= 500;
+		if (!failed) {
+			recordHarmless();
+		}
 		this.context.loads().recordAnswer(endpoint, !failed);
 		this.context.retries().recordExchange(pool(), true);
 		this.attempts++;
@@ -307,6 +321,9 @@
 		else {
 			recordFailure(endpoint, lost.reason());
 		}
+		if (lost.kind() == ExchangeResult.Lost.Kind.DISCONNECTED && answeringMilliseconds() < HARMLESS_MILLISECONDS) {
+			this.context.quarantine().recordCrash(endpoint, this.request.sharedSegments());
+		}
 		if (remaining() > ANSWER_START_MILLISECONDS && mayRetry() && this.context.retries().tryTake(pool())) {
 			return true;
 		}
@@ -328,13 +345,14 @@
 			.accept(event("request.exchange_failed").with("endpoint", endpoint.identifier())
 				.with("started_at", endpoint.startedAt())
 				.with("reason", reason)
-				.with("answering_ms", (this.answeringSince < 0) ? -1 : elapsed() - this.answeringSince)
+				.with("answering_ms", answeringMilliseconds())
 				.with("segments", this.request.sharedSegments())
 				.with("ejected_ms", ejectedMilliseconds));
 	}
 
 	private boolean mayRetry() {
-		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts();
+		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts()
+				&& examinePrompt() instanceof Finding.Clear;
 	}
 
 	private void giveUpWithoutEndpoint(long retryAfter, long readyInMilliseconds) {
@@ -351,6 +369,32 @@
 		refuse(SERVICE_UNAVAILABLE, "no_endpoint", retryAfter);
 	}
 
+	private Finding examinePrompt() {
+		return this.context.quarantine().examine(this.request.sharedSegments());
+	}
+
+	private void giveUpQuarantined(Finding.Quarantined finding) {
+		this.context.log()
+			.accept(event("request.quarantined").with("segment", finding.segment()).with("crashes", finding.crashes()));
+		if (this.mayHaveRun || this.relay.isStarted()) {
+			giveUpAfterFailure(true);
+			return;
+		}
+		refundIfNotRun();
+		refuse(SERVICE_UNAVAILABLE, "prompt_quarantined", finding.remainingMilliseconds());
+	}
+
+	/** Records that the current answer has not harmed its endpoint. */
+	private void recordHarmless() {
+		this.context.quarantine()
+			.recordAnswer(this.request.sharedSegments(),
+					this.context.clock().milliseconds() - Math.max(0, answeringMilliseconds()));
+	}
+
+	private long answeringMilliseconds() {
+		return (this.answeringSince < 0) ? -1 : elapsed() - this.answeringSince;
+	}
+
 	private void refundIfNotRun() {
 		if (!this.mayHaveRun) {
 			this.context.grants().refund(admitted().organisation(), admitted().cost());
@@ -423,6 +467,8 @@
 
 		private long progressAt;
 
+		private boolean harmless;
+
 		private RouteLimits(long sentAt) {
 			this.progressAt = sentAt;
 		}
@@ -438,6 +484,10 @@
 			if (Forwarding.this.answeringSince < 0) {
 				Forwarding.this.answeringSince = this.progressAt;
 			}
+			else if (!this.harmless && answeringMilliseconds() >= HARMLESS_MILLISECONDS) {
+				this.harmless = true;
+				recordHarmless();
+			}
 		}
 
 		@Override
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -12,6 +12,7 @@
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
+import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 
@@ -28,6 +29,7 @@
  * @param rates the request rates of models
  * @param retries the retry budgets
  * @param peers the latest messages of peers
+ * @param quarantine the segments of prompts that crash endpoints
  * @param failureDomain the failure domain of this daemon
  * @param stopPhase returns the current phase of a planned stop
  * @param clock the clock
@@ -37,6 +39,6 @@
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, ModelRates rates, RetryBudgets retries, PeerRegistry peers,
-		String failureDomain, Supplier<StopPhase> stopPhase, MonotonicClock clock, ServingMetrics metrics,
-		Consumer<Event> log) {
+		PromptQuarantine quarantine, String failureDomain, Supplier<StopPhase> stopPhase, MonotonicClock clock,
+		ServingMetrics metrics, Consumer<Event> log) {
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -1,9 +1,13 @@
 package org.masticshelf.serving.request;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.masticshelf.serving.quarantine.PromptQuarantine;
+
 /**
  * Counts requests and measures their latency. Thread-safe.
  */
@@ -40,6 +44,24 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metrics of segments of prompts that crash endpoints.
+	 * @param registry the registry
+	 * @param quarantine the source of the values
+	 */
+	public static void registerQuarantine(PrometheusRegistry registry, PromptQuarantine quarantine) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_quarantined_segments")
+			.help("Segments of prompts whose requests are refused because they crash endpoints.")
+			.callback((callback) -> callback.call(quarantine.size()))
+			.register(registry);
+		CounterWithCallback.builder()
+			.name("masticshelf_serving_requests_broken_total")
+			.help("Requests that broke with their endpoint before their answer was under way.")
+			.callback((callback) -> callback.call(quarantine.brokenRequests()))
+			.register(registry);
+	}
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome the outcome label
--- a/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
 import org.jspecify.annotations.Nullable;
@@ -17,10 +18,13 @@
 class PeerBroadcastTests {
 
 	private static final PeerMessage COMMON = new PeerMessage("self", "10.0.0.1:1", 7, Map.of("org", 5.0),
-			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), null);
+			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), null, null);
 
 	private static final PeerMessage.Waiting WAITING = new PeerMessage.Waiting("pool", "m", 1, 10, 100);
 
+	private static final PeerMessage.CrashEvidence EVIDENCE = new PeerMessage.CrashEvidence(
+			List.of(new PeerMessage.Crash("e/1", "10.0.1.1:1", 20, Map.of("5c", 0))), Map.of("91", 10L));
+
 	private static PeerMessage.Placement placement(boolean withEngine) {
 		List<PeerMessage.Engine> engines = withEngine ? List.of(new PeerMessage.Engine("e", 1, 1, Map.of()))
 				: List.of();
@@ -29,9 +33,9 @@
 
 	private static PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided) {
 		PeerMessage fromWaitingPeer = new PeerMessage("waits", "10.0.0.2:1", 1, Map.of(), Map.of(), List.of(WAITING),
-				Map.of(), null);
+				Map.of(), null, null);
 		return new PeerBroadcast(COMMON, new PeerBroadcast.Details("places", List.of(WAITING), Map.of("pool/m", 1.0),
-				decided, Map.of("waits", fromWaitingPeer)));
+				decided, Map.of("waits", fromWaitingPeer), EVIDENCE, Set.of("learns")));
 	}
 
 	private static PeerMessage decode(byte @Nullable [] bytes) {
@@ -47,7 +51,15 @@
 		Truth.assertThat(broadcast.messageTo("one", true)).isSameInstanceAs(broadcast.messageTo("two", true));
 		Truth.assertThat(decode(broadcast.messageTo("one", true)))
 			.isEqualTo(new PeerMessage("self", "10.0.0.1:1", 7, COMMON.spent(), COMMON.running(), List.of(), Map.of(),
-					placement(true).withEstimates(Map.of())));
+					placement(true).withEstimates(Map.of()), null));
+	}
+
+	@Test
+	void tellsEvidenceOnCrashesToTheSelectedPeersOnly() {
+		PeerBroadcast broadcast = broadcast(null);
+		Truth.assertThat(decode(broadcast.messageTo("learns", false)).crashEvidence()).isEqualTo(EVIDENCE);
+		Truth.assertThat(broadcast.messageTo("other", false)).isNull();
+		Truth.assertThat(decode(broadcast.messageTo("other", true)).crashEvidence()).isNull();
 	}
 
 	@Test
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,6 +38,7 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
+import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.upstream.AnswerHead;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
@@ -69,6 +70,11 @@
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, () -> {
 	});
 
+	private final MonotonicClock.Manual quarantineClock = new MonotonicClock.Manual();
+
+	private final PromptQuarantine quarantine = new PromptQuarantine(this.quarantineClock, this::log, () -> {
+	});
+
 	private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
 
 	private final List<Event> events = new ArrayList<>();
@@ -135,7 +141,7 @@
 	private void forward(ServedRequest request, RecordingCaller requestCaller) {
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
 				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests, this.rates,
-				new RetryBudgets(), this.peerRegistry, "domain", () -> this.phase, this.clock,
+				new RetryBudgets(), this.peerRegistry, this.quarantine, "domain", () -> this.phase, this.clock,
 				new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
@@ -437,7 +443,6 @@
 
 	/** Guards against requests with one segment crashing engine after engine (BUDGET). */
 	@Test
-	@Tag("known-red")
 	void segmentThatCrashedThreeEnginesReachesNoFurtherOne() throws IOException {
 		String wholeStream = STREAM + chunk("id: 1\n\n") + "0\r\n\r\n";
 		route(Execution.STREAM, 1, engine(), List.of());
@@ -446,10 +451,12 @@
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 		for (String name : List.of("a", "b", "c")) {
 			list(endpoint(name, "<close>").toEndpoint("m"));
+			this.quarantineClock.advance(Duration.ofSeconds(1));
 			Truth.assertThat(forward("system", "deadly").status()).isEqualTo(502);
 		}
+		this.quarantineClock.advance(Duration.ofSeconds(1));
 		list(last.toEndpoint("m"));
-		Truth.assertThat(forward("deadly", "subject").status()).isEqualTo(503);
+		Truth.assertThat(forward("system", "deadly").status()).isEqualTo(503);
 		Truth.assertThat(last.heads()).hasSize(1);
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 	}
