Quarantined segments outlast a loss of power of all daemons

Callers whose requests have a deadly segment crashed three to four further engines after all daemons had lost power: the evidence was only in the memory of daemons. The holder of the placing duty now writes the crashes that implicate segments to one key, once for each newly implicated segment, and each daemon reads it once after its start; ages go on by the wall clock.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -1,6 +1,7 @@
 package org.masticshelf.serving;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Collection;
 import java.util.List;
 import java.util.Random;
@@ -31,6 +32,7 @@
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.RequestContext;
 import org.masticshelf.serving.request.RequestForwarder;
@@ -115,6 +117,10 @@
 
 	private final PrefixView dutyView;
 
+	private final Duty placementDuty;
+
+	private final QuarantineRecord quarantineRecord;
+
 	private final Placement placement;
 
 	private final RequestForwarder forwarder;
@@ -141,15 +147,17 @@
 		this.dutyView = PrefixView.watching(ports.store(), this.clock, LeasedDuties.PREFIX, LISTING_INTERVAL);
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
-		Duty duty = this.duties.compete(PLACEMENT_DUTY);
-		this.placement = new Placement(duty,
+		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
+		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
+				EventLog::info);
+		this.placement = new Placement(this.placementDuty,
 				new Placement.Access(ports.orders(), this.directory, this.loads::isInSilentDomain), this::tables,
 				this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
 		this.peerExchange = new PeerExchange(
-				new PeerExchange.Components(this.members, duty, this.peerRegistry, this.grants, this.loads,
-						this.directory, this.waitingRequests, this.rates, this.placement, this.quarantine),
+				new PeerExchange.Components(this.members, this.placementDuty, this.peerRegistry, this.grants,
+						this.loads, this.directory, this.waitingRequests, this.rates, this.placement, this.quarantine),
 				this.clock, this.scheduler);
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.rates, new RetryBudgets(),
@@ -200,6 +208,7 @@
 		runSafely(this.dutyView::round);
 		runSafely(this.members::round);
 		runSafely(this.duties::round);
+		runSafely(() -> this.quarantineRecord.round(this.placementDuty.tenure() != null));
 	}
 
 	private static void runSafely(Runnable task) {
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/PromptQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/PromptQuarantine.java
@@ -226,6 +226,26 @@
 		return new PeerMessage.CrashEvidence(reported, answered);
 	}
 
+	/**
+	 * Returns the crashes that implicate segments, with these segments only.
+	 * @return the evidence, empty if no segment is implicated
+	 */
+	public synchronized PeerMessage.CrashEvidence implicatingEvidence() {
+		long now = this.clock.milliseconds();
+		judgeIfDue(now);
+		List<PeerMessage.Crash> implicating = new ArrayList<>();
+		for (EndpointCrash crash : gravestFirst()) {
+			Map<String, Integer> segments = new HashMap<>(crash.segments());
+			segments.keySet()
+				.removeIf((segment) -> !(this.verdicts.get(segment) instanceof SegmentVerdict.Implicated)
+						|| answeredAt(segment) >= crash.at());
+			if (!segments.isEmpty() && implicating.size() < MAXIMUM_REPORTED_CRASHES) {
+				implicating.add(new PeerMessage.Crash(crash.run(), crash.address(), now - crash.at(), segments));
+			}
+		}
+		return new PeerMessage.CrashEvidence(implicating, Map.of());
+	}
+
 	/**
 	 * Returns whether there is anything to tell peers.
 	 * @return whether any crash is known
