A stream without a length that ends before its first event is broken off

Callers got an empty stream as complete when an engine had sent the head of an answer without length or chunks and crashed before its first event, which is what engines do on a deadly segment. The end of the connection counted as the end of the answer; only a partial event was taken for a break. Now an unframed stream without any event is lost like other exchanges, and counts as evidence of a crash.

ForwardingTests.unframedStreamIsCompleteOnlyAfterWholeEvents: its case without an event failed before (complete, expected broken); the other three passed before and after.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -185,6 +185,7 @@
 		EventSplitter splitter = new EventSplitter();
 		List<Header> headers = forwardedHeaders(answer);
 		byte[] buffer = new byte[BUFFER_BYTES];
+		boolean empty = true;
 		this.limits.recordHead();
 		while (true) {
 			int count = connection.read(buffer,
@@ -196,11 +197,15 @@
 			if (events.stream().anyMatch(StreamEvent::hasField)) {
 				this.limits.recordEvent();
 			}
+			empty &= events.isEmpty();
 			relay.forward(headers, events);
 		}
 		if (splitter.hasPartialEvent()) {
 			throw UpstreamException.disconnected("the stream ended within an event");
 		}
+		if (empty && answer.framing() == AnswerHead.Framing.UNTIL_CLOSE) {
+			throw UpstreamException.disconnected("the stream ended before its first event");
+		}
 		relay.end(headers);
 		return new ExchangeResult.Streamed();
 	}
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -426,6 +426,27 @@
 		Truth.assertThat(this.caller.body()).isEqualTo("id: 1\n\n");
 	}
 
+	/**
+	 * A stream without a length that ends with its connection is complete only after
+	 * whole events.
+	 * @param name the case
+	 * @param events the bytes after the head
+	 * @param complete whether the caller gets a complete stream
+	 */
+	@ParameterizedTest(name = "{0}")
+	@CsvSource(delimiter = '|', emptyValue = "",
+			value = { "whole events | id: 1~data: x~~id: 2~~<close> | true",
+					"within an event | id: 1~data: x~~id: 2~<close> | false", "reset | id: 1~data: x~~<reset> | false",
+					"no event | <close> | false" })
+	void unframedStreamIsCompleteOnlyAfterWholeEvents(String name, String events, boolean complete) throws IOException {
+		route(Execution.STREAM, 1);
+		list(endpoint("a", "HTTP/1.1 200 OK\r\nId: r\r\nMark: e\r\nContent-Type: text/event-stream\r\n\r\n"
+				+ events.replace("~", "\n"))
+			.toEndpoint());
+		send();
+		Truth.assertThat(this.caller.isComplete() && this.caller.status() == 200).isEqualTo(complete);
+	}
+
 	/** What requests have in common that crash engines is found by these fields. */
 	@Test
 	void failedExchangeNamesSegmentsAndRunOfEndpoint() throws IOException {
