--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -62,7 +62,7 @@
 	private static final long FULL_PLACEMENT_INTERVAL_MILLISECONDS = 900;
 
 	/** The number of peers that learn at once of new evidence on crashes. */
-	private static final int CHANGED_EVIDENCE_PEERS = 8;
+	private static final int CHANGED_EVIDENCE_PEERS = 4;
 
 	/** The time within which changes are combined into one message. */
 	private static final long MESSAGE_DELAY_MILLISECONDS = 5;
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/PromptQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/PromptQuarantine.java
@@ -45,10 +45,10 @@
 	private static final int MAXIMUM_REPORTED_ANSWERS = 64;
 
 	/**
-	 * How long after a crash the answers to its segments are reported, which is enough
-	 * for all daemons to learn them.
+	 * How long all that is known of a crash is passed on, which is enough for all daemons
+	 * to learn it. Later only segments that are suspected are passed on.
 	 */
-	private static final long ANSWER_REPORT_MILLISECONDS = 30_000;
+	private static final long NEWS_MILLISECONDS = 5_000;
 
 	private static final long JUDGEMENT_INTERVAL_MILLISECONDS = 1_000;
 
@@ -179,7 +179,7 @@
 			}
 			long knownAt = this.crashes.containsKey(crash.run()) ? this.crashes.get(crash.run()).at() : at;
 			for (String segment : crash.segments().keySet()) {
-				if (answeredAt(segment) >= knownAt && now - knownAt >= ANSWER_REPORT_MILLISECONDS) {
+				if (answeredAt(segment) >= knownAt && now - knownAt >= NEWS_MILLISECONDS) {
 					this.contestedAnswers.put(segment, now);
 				}
 			}
@@ -206,14 +206,14 @@
 		Map<String, Long> answered = new HashMap<>();
 		List<PeerMessage.Crash> reported = new ArrayList<>();
 		for (EndpointCrash crash : gravestFirst()) {
+			boolean recent = now - crash.at() < NEWS_MILLISECONDS;
 			Map<String, Integer> open = new HashMap<>();
 			crash.segments().forEach((segment, position) -> {
 				long answeredAt = answeredAt(segment);
-				if (answeredAt < crash.at()) {
+				if (answeredAt < crash.at() && (recent || this.verdicts.containsKey(segment))) {
 					open.put(segment, position);
 				}
-				boolean wanted = now - crash.at() < ANSWER_REPORT_MILLISECONDS
-						|| this.contestedAnswers.containsKey(segment);
+				boolean wanted = recent || this.contestedAnswers.containsKey(segment);
 				if (answeredAt != CrashAttribution.NEVER && wanted && answered.size() < MAXIMUM_REPORTED_ANSWERS) {
 					answered.put(segment, now - answeredAt);
 				}
@@ -354,9 +354,8 @@
 
 	private void forgetOld(long now) {
 		this.crashes.values()
-			.removeIf((crash) -> now
-					- crash.at() >= (isExplained(crash) ? ANSWER_REPORT_MILLISECONDS : RETENTION_MILLISECONDS));
-		this.contestedAnswers.values().removeIf((at) -> now - at >= ANSWER_REPORT_MILLISECONDS);
+			.removeIf((crash) -> now - crash.at() >= (isExplained(crash) ? NEWS_MILLISECONDS : RETENTION_MILLISECONDS));
+		this.contestedAnswers.values().removeIf((at) -> now - at >= NEWS_MILLISECONDS);
 	}
 
 	private void judgeIfDue(long now) {
