Limits that endpoints state are read, logged and counted

The line endpoint.limit_stated names the endpoint, its run, the limit and the one before, when it changes; masticshelf_serving_limited_endpoints counts the endpoints. The limit is taken from the head of an answer, so also of a stream before its first event. No request is routed differently.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -27,6 +27,7 @@
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.caller.ServingListener;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
+import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
@@ -95,6 +96,8 @@
 
 	private final EndpointLoads loads = new EndpointLoads(this.clock);
 
+	private final EndpointLimits endpointLimits = new EndpointLimits(this.clock, EventLog::info);
+
 	private final EndpointConnections connections = new EndpointConnections(this.clock);
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
@@ -161,14 +164,16 @@
 				this.clock, this.scheduler);
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.rates, new RetryBudgets(),
-				this.peerRegistry, this.quarantine, settings.failureDomain(), () -> this.stopPhase, this.clock,
-				new ServingMetrics(this.metrics), EventLog::info));
+				this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(), () -> this.stopPhase,
+				this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
+		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		this.directory.addListener(this.waitingRequests::signal);
 		this.directory.addListener(this.placement::wake);
 		this.directory.addRemovalListener((endpoint) -> {
 			this.connections.closeIdle(endpoint);
 			this.loads.forget(endpoint);
+			this.endpointLimits.forget(endpoint);
 		});
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -11,6 +11,8 @@
 import java.util.Locale;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRequest.Header;
@@ -157,6 +159,9 @@
 	private ExchangeResult readAnswer(EndpointConnection connection, AnswerHead answer, StreamRelay relay)
 			throws IOException {
 		AnswerMetadata metadata = this.protocol.answerMetadata(answer);
+		if (metadata.requestIdentifier() != null && !metadata.otherEndpoint()) {
+			this.limits.recordRequestLimit(metadata.requestLimit());
+		}
 		if (metadata.notRun()) {
 			readBody(connection);
 			return new ExchangeResult.NotRun(answer.status(), metadata.otherEndpoint());
@@ -276,6 +281,13 @@
 		 */
 		long gapMilliseconds();
 
+		/**
+		 * Records the limit that the endpoint states in its answer.
+		 * @param requestsPerSecond the requests a second that it takes from all daemons
+		 * together, {@code null} for no limit
+		 */
+		void recordRequestLimit(@Nullable Double requestsPerSecond);
+
 		/**
 		 * Records that the head of a stream has arrived. Bytes that complete neither a
 		 * head nor an event do not extend a timeout.
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -224,7 +224,7 @@
 		this.context.loads().recordStart(endpoint, loadable(), tokens());
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(elapsed()), this.caller, chooseConnection(endpoint))
+					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint))
 				.run(this.relay);
 		}
 		finally {
@@ -467,12 +467,20 @@
 
 		private long progressAt;
 
+		private final ServedEndpoint endpoint;
+
 		private boolean harmless;
 
-		private RouteLimits(long sentAt) {
+		private RouteLimits(ServedEndpoint endpoint, long sentAt) {
+			this.endpoint = endpoint;
 			this.progressAt = sentAt;
 		}
 
+		@Override
+		public void recordRequestLimit(@Nullable Double requestsPerSecond) {
+			Forwarding.this.context.endpointLimits().learn(this.endpoint, requestsPerSecond);
+		}
+
 		@Override
 		public void recordHead() {
 			this.progressAt = elapsed();
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -9,6 +9,7 @@
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
+import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
@@ -29,6 +30,7 @@
  * @param rates the request rates of models
  * @param retries the retry budgets
  * @param peers the latest messages of peers
+ * @param endpointLimits the limits that endpoints state
  * @param quarantine the segments of prompts that crash endpoints
  * @param failureDomain the failure domain of this daemon
  * @param stopPhase returns the current phase of a planned stop
@@ -39,6 +41,6 @@
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, ModelRates rates, RetryBudgets retries, PeerRegistry peers,
-		PromptQuarantine quarantine, String failureDomain, Supplier<StopPhase> stopPhase, MonotonicClock clock,
-		ServingMetrics metrics, Consumer<Event> log) {
+		EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain, Supplier<StopPhase> stopPhase,
+		MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.quarantine.PromptQuarantine;
 
 /**
@@ -62,6 +63,19 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metrics of the limits that endpoints state.
+	 * @param registry the registry
+	 * @param limits the source of the values
+	 */
+	public static void registerLimits(PrometheusRegistry registry, EndpointLimits limits) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_limited_endpoints")
+			.help("Endpoints that state how many requests a second they take.")
+			.callback((callback) -> callback.call(limits.size()))
+			.register(registry);
+	}
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome the outcome label
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
@@ -52,8 +52,11 @@
 	 * @param otherEndpoint whether another endpoint answers at the address, or the
 	 * endpoint lacks what the request needs
 	 * @param genuine whether the answer carries the marker of the endpoint itself
+	 * @param requestLimit the requests a second that the endpoint takes from all daemons
+	 * together, {@code null} if it states no limit
 	 */
-	record AnswerMetadata(@Nullable String requestIdentifier, boolean notRun, boolean otherEndpoint, boolean genuine) {
+	record AnswerMetadata(@Nullable String requestIdentifier, boolean notRun, boolean otherEndpoint, boolean genuine,
+			@Nullable Double requestLimit) {
 	}
 
 }
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -34,6 +34,7 @@
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
+import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerMessage;
@@ -63,6 +64,8 @@
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
 
+	private final EndpointLimits limits = new EndpointLimits(this.clock, this::log);
+
 	private final PeerRegistry peerRegistry = new PeerRegistry(this.clock);
 
 	private final ModelRates rates = new ModelRates(this.clock);
@@ -141,8 +144,8 @@
 	private void forward(ServedRequest request, RecordingCaller requestCaller) {
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
 				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests, this.rates,
-				new RetryBudgets(), this.peerRegistry, this.quarantine, "domain", () -> this.phase, this.clock,
-				new ServingMetrics(new PrometheusRegistry()), this::log);
+				new RetryBudgets(), this.peerRegistry, this.limits, this.quarantine, "domain", () -> this.phase,
+				this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
 
@@ -447,6 +450,23 @@
 		Truth.assertThat(this.caller.isComplete() && this.caller.status() == 200).isEqualTo(complete);
 	}
 
+	@Test
+	void statedLimitIsLoggedWhenItChanges() throws IOException {
+		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: 1.5");
+		route(Execution.REPEATABLE, 1);
+		list(endpoint("a", limited, limited, OK_ANSWER).toEndpoint());
+		for (int request = 0; request < 3; request++) {
+			forward(request(null, null, List.of()), new RecordingCaller());
+		}
+		Truth
+			.assertThat(this.events.stream()
+				.filter((event) -> event.name().equals("endpoint.limit_stated"))
+				.map((event) -> event.field("requests_per_second"))
+				.toList())
+			.containsExactly("1.5", "none")
+			.inOrder();
+	}
+
 	/** What requests have in common that crash engines is found by these fields. */
 	@Test
 	void failedExchangeNamesSegmentsAndRunOfEndpoint() throws IOException {
@@ -538,8 +558,9 @@
 		@Override
 		public AnswerMetadata answerMetadata(AnswerHead head) {
 			boolean other = head.status() == 421;
+			String limit = head.header("Limit");
 			return new AnswerMetadata(head.header("Id"), other || head.header("Not-Run") != null, other,
-					head.header("Mark") != null);
+					head.header("Mark") != null, (limit != null) ? Double.valueOf(limit) : null);
 		}
 
 	}
