Test of an endpoint that names a limit, known to fail

An endpoint beside another one answers 40 requests in a row, naming a limit of one a second; it gets 19 of them, and the users allow 11 in 4 s.

--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -502,6 +504,26 @@
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 	}
 
+	/**
+	 * Guards against endpoints in need getting more requests than they ask for (LIMIT).
+	 */
+	@Test
+	@Tag("known-red")
+	void endpointThatNamesLimitGetsNoMoreRequestsThanThat() throws IOException {
+		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: 1");
+		int requests = 40;
+		route(Execution.REPEATABLE, 1);
+		ScriptedEndpoint inNeed = endpoint("a", Collections.nCopies(requests, limited).toArray(String[]::new));
+		ScriptedEndpoint other = endpoint("b", Collections.nCopies(requests, OK_ANSWER).toArray(String[]::new));
+		list(inNeed.toEndpoint(), other.toEndpoint());
+		for (int request = 0; request < requests; request++) {
+			RecordingCaller requestCaller = new RecordingCaller();
+			forward(request(null, null, List.of()), requestCaller);
+			Truth.assertThat(requestCaller.status()).isEqualTo(200);
+		}
+		Truth.assertThat(inNeed.heads().size()).isAtMost(11);
+	}
+
 	private RecordingCaller forward(String... segments) {
 		RecordingCaller segmentCaller = new RecordingCaller();
 		forward(request(LoadableName.ofModel("m"), null, List.of(segments)), segmentCaller);
