Daemons keep to the limits of endpoints in need, all together

Each daemon keeping to the limit by itself would have sent the limit times the number of daemons.

Change: a daemon that learns of a limit, from an answer or from a peer, takes its share of it. A request cannot be divided, so with limits below the number of daemons only some have a share, the same in the view of all; shares start empty. What is left over goes to other endpoints that hold the model. If there are none, the request waits if its turn comes within its time, else it is refused at once with the time of its turn. The end of a limit is learned from the next answer without it and passed on. Retries and resumed streams take from the share, too.

--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -20,6 +20,7 @@
 import org.masticshelf.kernel.serving.ServedEndpoint.Holdings;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
+import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerBroadcast;
@@ -151,8 +152,7 @@
 			this.updatesSentAt = now;
 			sendUpdates(true);
 		}
-		else if (now - this.evidenceSentAt >= MESSAGE_INTERVAL_MILLISECONDS
-				&& this.components.quarantine().hasEvidence()) {
+		else if (now - this.evidenceSentAt >= MESSAGE_INTERVAL_MILLISECONDS && hasSharedFindings()) {
 			sendUpdates(false);
 		}
 	}
@@ -187,7 +187,11 @@
 				this.components.members().members(), recentMessages.keySet());
 		// A peer that the key-value service rejects has no key there, but may still send.
 		recentMessages.forEach((incarnation, message) -> addresses.put(incarnation, message.address()));
-		this.components.grants().setPeers(addresses.keySet(), !this.leased && recentMessages.isEmpty());
+		boolean isolated = !this.leased && recentMessages.isEmpty();
+		this.components.grants().setPeers(addresses.keySet(), isolated);
+		if (!isolated) {
+			this.components.limits().setPeers(addresses.keySet());
+		}
 		this.components.loads().setPeerRequests(this.components.peers().runningRequests());
 		boolean full = all
 				&& this.clock.milliseconds() - this.fullPlacementSentAt >= FULL_PLACEMENT_INTERVAL_MILLISECONDS;
@@ -216,25 +220,30 @@
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(), null,
-				null);
+				this.components.limits().reports(), null);
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
 						this.components.rates().requestsPerSecond(), decided, recentMessages,
 						this.components.quarantine().evidence(), evidencePeers));
 	}
 
+	private boolean hasSharedFindings() {
+		return this.components.quarantine().hasEvidence() || !this.components.limits().reports().isEmpty();
+	}
+
 	/**
-	 * Selects the peers that get the evidence on crashes: several when it has changed,
-	 * otherwise one at a time. They pass it on, so that all daemons have it after a
-	 * number of rounds that grows with the logarithm of theirs.
+	 * Selects the peers that get a message out of turn, with the evidence on crashes and
+	 * the limits of endpoints: several when these have changed, otherwise one at a time.
+	 * They pass it on, so that all daemons have it after a number of rounds that grows
+	 * with the logarithm of theirs.
 	 * @param peers the incarnations of all peers
 	 * @return the incarnations of the selected peers
 	 */
 	private Set<String> selectEvidencePeers(Set<String> peers) {
 		long now = this.clock.milliseconds();
-		boolean changed = this.components.quarantine().takeChanged();
+		boolean changed = this.components.quarantine().takeChanged() | this.components.limits().takeChanged();
 		boolean due = now - this.evidenceSentAt >= MESSAGE_INTERVAL_MILLISECONDS;
-		if (!(changed || due) || !this.components.quarantine().hasEvidence()) {
+		if (!(changed || due) || !hasSharedFindings()) {
 			return Set.of();
 		}
 		this.evidenceSentAt = now;
@@ -264,6 +273,7 @@
 		}
 		boolean isNewestPlacement = this.components.peers().receive(message);
 		this.components.grants().recordPeerSpending(message.incarnation(), message.spent());
+		this.components.limits().merge(message.incarnation(), message.limits());
 		PeerMessage.CrashEvidence evidence = message.crashEvidence();
 		if (evidence != null) {
 			this.components.quarantine().merge(message.incarnation(), evidence);
@@ -317,11 +327,12 @@
 	 * @param waitingRequests the requests that wait for an endpoint
 	 * @param rates the request rates of models
 	 * @param placement the placement, active while this daemon holds the duty
+	 * @param limits the limits that endpoints state
 	 * @param quarantine the segments of prompts that crash endpoints
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
 			EndpointDirectory directory, WaitingRequests waitingRequests, ModelRates rates, Placement placement,
-			PromptQuarantine quarantine) {
+			EndpointLimits limits, PromptQuarantine quarantine) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -96,8 +96,6 @@
 
 	private final EndpointLoads loads = new EndpointLoads(this.clock);
 
-	private final EndpointLimits endpointLimits = new EndpointLimits(this.clock, EventLog::info);
-
 	private final EndpointConnections connections = new EndpointConnections(this.clock);
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
@@ -108,7 +106,9 @@
 
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, this::demandChanged);
 
-	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::evidenceChanged);
+	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::findingsChanged);
+
+	private final EndpointLimits endpointLimits;
 
 	private final DaemonLease lease;
 
@@ -150,6 +150,7 @@
 		this.dutyView = PrefixView.watching(ports.store(), this.clock, LeasedDuties.PREFIX, LISTING_INTERVAL);
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
+		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged);
 		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
 				EventLog::info);
@@ -158,10 +159,9 @@
 				this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
-		this.peerExchange = new PeerExchange(
-				new PeerExchange.Components(this.members, this.placementDuty, this.peerRegistry, this.grants,
-						this.loads, this.directory, this.waitingRequests, this.rates, this.placement, this.quarantine),
-				this.clock, this.scheduler);
+		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
+				this.peerRegistry, this.grants, this.loads, this.directory, this.waitingRequests, this.rates,
+				this.placement, this.endpointLimits, this.quarantine), this.clock, this.scheduler);
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.rates, new RetryBudgets(),
 				this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(), () -> this.stopPhase,
@@ -266,7 +266,7 @@
 		this.peerExchange.scheduleUpdates();
 	}
 
-	private void evidenceChanged() {
+	private void findingsChanged() {
 		this.peerExchange.scheduleUpdates();
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -20,6 +20,7 @@
  * @param rates its recent requests per second for each model; sent only to the placing
  * daemon
  * @param placement the placement, {@code null} unless the sender is the placing daemon
+ * @param limits the limits that endpoints state, by run of the endpoint
  * @param crashEvidence what it knows about prompts that crash endpoints; sent to a few
  * peers at a time
  */
@@ -27,7 +28,7 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
-		@Nullable Placement placement, @Nullable CrashEvidence crashEvidence) {
+		@Nullable Placement placement, Map<String, StatedLimit> limits, @Nullable CrashEvidence crashEvidence) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -35,12 +36,25 @@
 		running = orEmpty(running);
 		waiting = (waiting != null) ? List.copyOf(waiting) : List.of();
 		rates = orEmpty(rates);
+		limits = orEmpty(limits);
 	}
 
 	private static <V> Map<String, V> orEmpty(@Nullable Map<String, V> map) {
 		return (map != null) ? Map.copyOf(map) : Map.of();
 	}
 
+	/**
+	 * A limit that an endpoint stated.
+	 *
+	 * @param requestsPerSecond the requests a second that it takes from all daemons
+	 * together, {@code null} if it states no limit any more
+	 * @param age how long ago it did so, in milliseconds
+	 */
+	@JsonInclude(JsonInclude.Include.NON_NULL)
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	public record StatedLimit(@Nullable Double requestsPerSecond, long age) {
+	}
+
 	/**
 	 * What a daemon knows about prompts that crash endpoints.
 	 *
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -12,6 +12,7 @@
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
+import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 
 /**
@@ -58,7 +59,8 @@
 		List<EndpointSelection.Candidate> candidates = new ArrayList<>();
 		for (ServedEndpoint endpoint : holding) {
 			EndpointLoads.View view = this.context.loads().view(endpoint);
-			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view);
+			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
+					|| this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0;
 			candidates.add(new EndpointSelection.Candidate(endpoint.identifier(), view.own() + view.elsewhere(),
 					endpoint.failureDomain().equals(this.context.failureDomain()), full, view.penalty()));
 		}
@@ -67,6 +69,28 @@
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
 
+	/**
+	 * Returns when the first endpoint takes the request, if limits that endpoints state
+	 * are all that keeps it from being sent.
+	 * @param ahead the requests that wait here for the same
+	 * @return when it may be sent, {@code null} unless all endpoints that hold what it
+	 * needs state a limit
+	 */
+	@Nullable Availability limitedAvailability(int ahead) {
+		Availability earliest = null;
+		for (ServedEndpoint endpoint : this.context.directory().holding(this.pool, this.loadable)) {
+			Availability availability = this.context.endpointLimits().availability(endpoint, ahead);
+			if (availability.milliseconds() == 0) {
+				return null;
+			}
+			if (earliest == null || (availability.here() && !earliest.here()) || (availability.here() == earliest.here()
+					&& availability.milliseconds() < earliest.milliseconds())) {
+				earliest = availability;
+			}
+		}
+		return earliest;
+	}
+
 	private boolean isFull(ServedEndpoint endpoint, EndpointLoads.View view) {
 		int requestCount = view.own() + view.elsewhere();
 		EngineProfile profile = this.engine;
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -14,6 +14,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.caller.CallerChannel;
+import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
@@ -130,6 +131,9 @@
 				giveUpQuarantined(finding);
 				return;
 			}
+			if (!this.context.endpointLimits().tryTake(endpoint)) {
+				continue;
+			}
 			ExchangeResult result = send(endpoint);
 			if (this.caller.isGone()) {
 				finish("caller_gone", 0);
@@ -156,14 +160,23 @@
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
-				ServedEndpoint endpoint = new EndpointChooser(this.context, this.request, pool(),
-						admitted().pool().engine())
-					.choose(this.avoidedEndpoints);
+				EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(),
+						admitted().pool().engine());
+				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
 				if (endpoint != null) {
 					return endpoint;
 				}
 				estimate = estimate.learn(elapsed(), readyIn());
 				long readyInMilliseconds = estimate.readyIn(elapsed());
+				Availability limited = chooser
+					.limitedAvailability(this.context.waitingRequests().countAhead(pool(), loadable(), entry));
+				if (limited != null && readyInMilliseconds < 0) {
+					if (!limited.here()) {
+						giveUpWithoutEndpoint(limited.milliseconds(), limited.milliseconds());
+						return null;
+					}
+					readyInMilliseconds = limited.milliseconds();
+				}
 				WaitDecision decision = WaitDecision.decide(elapsed(), firstEventLimit(), readyInMilliseconds,
 						ANSWER_START_MILLISECONDS);
 				switch (decision) {
--- a/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -107,6 +108,29 @@
 		}
 	}
 
+	/**
+	 * Counts the requests that wait for the same and came earlier.
+	 * @param pool the pool
+	 * @param loadable the model or adapter, {@code null} for a plain call
+	 * @param entry the entry of the request, {@code null} if it does not wait yet
+	 * @return the number of requests
+	 */
+	public int countAhead(String pool, @Nullable LoadableName loadable, @Nullable Entry entry) {
+		this.lock.lock();
+		try {
+			Long since = (entry != null) ? this.entries.get(entry) : null;
+			long before = (since != null) ? since : Long.MAX_VALUE;
+			return (int) this.entries.entrySet()
+				.stream()
+				.filter((other) -> other.getKey() != entry && other.getValue() <= before
+						&& other.getKey().pool.equals(pool) && Objects.equals(other.getKey().loadable, loadable))
+				.count();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Waits until a change is signalled.
 	 * @param seenChanges the change count before the last check
--- a/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
@@ -17,8 +17,11 @@
  */
 class PeerBroadcastTests {
 
+	private static final Map<String, PeerMessage.StatedLimit> LIMITS = Map.of("e/1",
+			new PeerMessage.StatedLimit(1.5, 20));
+
 	private static final PeerMessage COMMON = new PeerMessage("self", "10.0.0.1:1", 7, Map.of("org", 5.0),
-			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), null, null);
+			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), null, LIMITS, null);
 
 	private static final PeerMessage.Waiting WAITING = new PeerMessage.Waiting("pool", "m", 1, 10, 100);
 
@@ -33,7 +36,7 @@
 
 	private static PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided) {
 		PeerMessage fromWaitingPeer = new PeerMessage("waits", "10.0.0.2:1", 1, Map.of(), Map.of(), List.of(WAITING),
-				Map.of(), null, null);
+				Map.of(), null, Map.of(), null);
 		return new PeerBroadcast(COMMON, new PeerBroadcast.Details("places", List.of(WAITING), Map.of("pool/m", 1.0),
 				decided, Map.of("waits", fromWaitingPeer), EVIDENCE, Set.of("learns")));
 	}
@@ -51,7 +54,7 @@
 		Truth.assertThat(broadcast.messageTo("one", true)).isSameInstanceAs(broadcast.messageTo("two", true));
 		Truth.assertThat(decode(broadcast.messageTo("one", true)))
 			.isEqualTo(new PeerMessage("self", "10.0.0.1:1", 7, COMMON.spent(), COMMON.running(), List.of(), Map.of(),
-					placement(true).withEstimates(Map.of()), null));
+					placement(true).withEstimates(Map.of()), LIMITS, null));
 	}
 
 	@Test
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -15,7 +15,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -66,7 +65,8 @@
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
 
-	private final EndpointLimits limits = new EndpointLimits(this.clock, this::log);
+	private final EndpointLimits limits = new EndpointLimits("self", this.clock, this::log, () -> {
+	});
 
 	private final PeerRegistry peerRegistry = new PeerRegistry(this.clock);
 
@@ -508,7 +508,6 @@
 	 * Guards against endpoints in need getting more requests than they ask for (LIMIT).
 	 */
 	@Test
-	@Tag("known-red")
 	void endpointThatNamesLimitGetsNoMoreRequestsThanThat() throws IOException {
 		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: 1");
 		int requests = 40;
