--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -523,6 +523,38 @@
 		Truth.assertThat(inNeed.heads().size()).isAtMost(11);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0, 10.000", "0.2, 5.000" })
+	void requestBeyondTheOnlyEndpointsLimitIsRefusedAtOnce(double limit, String retryAfter) throws IOException {
+		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: " + limit);
+		route(Execution.REPEATABLE, 1);
+		ScriptedEndpoint inNeed = endpoint("a", limited, limited);
+		list(inNeed.toEndpoint());
+		RecordingCaller first = new RecordingCaller();
+		forward(request(null, null, List.of()), first);
+		Truth.assertThat(first.status()).isEqualTo(200);
+		RecordingCaller second = new RecordingCaller();
+		forward(request(null, null, List.of()), second);
+		Truth.assertThat(second.status()).isEqualTo(503);
+		Truth.assertThat(Double.parseDouble(second.header("Retry-After")))
+			.isWithin(0.5)
+			.of(Double.parseDouble(retryAfter));
+		Truth.assertThat(inNeed.heads()).hasSize(1);
+	}
+
+	@Test
+	void requestWaitsForItsTurnAtTheOnlyEndpointWithLimit() throws IOException {
+		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: 5");
+		route(Execution.REPEATABLE, 1);
+		ScriptedEndpoint inNeed = endpoint("a", limited, limited);
+		list(inNeed.toEndpoint());
+		for (int request = 0; request < 2; request++) {
+			RecordingCaller waiting = new RecordingCaller();
+			forward(request(null, null, List.of()), waiting);
+			Truth.assertThat(waiting.status()).isEqualTo(200);
+		}
+	}
+
 	private RecordingCaller forward(String... segments) {
 		RecordingCaller segmentCaller = new RecordingCaller();
 		forward(request(LoadableName.ofModel("m"), null, List.of(segments)), segmentCaller);
--- a/serving/src/test/java/org/masticshelf/serving/request/RecordingCaller.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/RecordingCaller.java
@@ -88,6 +88,14 @@
 		return this.aborted;
 	}
 
+	synchronized String header(String name) {
+		return this.headers.stream()
+			.filter((header) -> header.name().equalsIgnoreCase(name))
+			.findFirst()
+			.orElseThrow()
+			.value();
+	}
+
 	synchronized boolean hasHeader(String name) {
 		return this.headers.stream().anyMatch((header) -> header.name().equalsIgnoreCase(name));
 	}
