A request is kept from a repeat only if one more crash would implicate its prompt

Callers whose requests broke when two engines crashed at one moment would not have got the repeat that their route allows: two crashes were enough for a suspicion of every segment that had requests on both, also of common ones that are answered all the time.

A segment is now suspected with one crash fewer than would implicate it: two if it was never answered, three at different moments if it was. A request whose answer had been under way for 400 ms is no cause of a crash and is resumed whatever its segments.

--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -33,9 +33,6 @@
 	/** The time of a segment that has never been answered. */
 	public static final long NEVER = Long.MIN_VALUE;
 
-	/** The crashes after which a segment is suspected. */
-	static final int SUSPICIOUS_CRASHES = 2;
-
 	/** The crashes after which a segment is implicated. */
 	static final int IMPLICATING_CRASHES = 3;
 
@@ -77,7 +74,6 @@
 				}
 			});
 		}
-		suspects.values().removeIf((suspect) -> suspect.crashes.size() < SUSPICIOUS_CRASHES);
 		Map<String, SegmentVerdict> verdicts = new HashMap<>();
 		Suspect mostBlamed = findMostBlamed(suspects.values());
 		while (mostBlamed != null) {
@@ -88,7 +84,7 @@
 			mostBlamed = findMostBlamed(suspects.values());
 		}
 		for (Suspect suspect : suspects.values()) {
-			if (suspect.crashes.size() >= SUSPICIOUS_CRASHES) {
+			if (suspect.speaksAgainst(suspect.crashes, 1)) {
 				verdicts.put(suspect.segment, new SegmentVerdict.Suspected(suspect.latestFirst()));
 			}
 		}
@@ -97,7 +93,7 @@
 
 	private static @Nullable Suspect findMostBlamed(Collection<Suspect> suspects) {
 		return suspects.stream()
-			.filter((suspect) -> suspect.isImplicatedBy(suspect.crashes))
+			.filter((suspect) -> suspect.speaksAgainst(suspect.crashes, 0))
 			.max(Comparator.comparingDouble(Suspect::blame)
 				.thenComparing((suspect) -> suspect.position)
 				.thenComparing((suspect) -> suspect.segment))
@@ -126,9 +122,15 @@
 					+ POSITION_BLAME * Math.min(this.position, MAXIMUM_BLAMED_POSITION);
 		}
 
-		private boolean isImplicatedBy(List<EndpointCrash> considered) {
+		/**
+		 * Returns whether crashes implicate this segment.
+		 * @param considered the crashes
+		 * @param spared how many fewer crashes than for an implication suffice
+		 * @return whether they suffice
+		 */
+		private boolean speaksAgainst(List<EndpointCrash> considered, int spared) {
 			long addresses = considered.stream().map(EndpointCrash::address).distinct().count();
-			int needed = IMPLICATING_CRASHES + (this.answeredBefore ? 1 : 0) + ((addresses == 1) ? 1 : 0);
+			int needed = IMPLICATING_CRASHES + (this.answeredBefore ? 1 : 0) + ((addresses == 1) ? 1 : 0) - spared;
 			if (considered.size() < needed) {
 				return false;
 			}
@@ -140,7 +142,7 @@
 		private SegmentVerdict.Implicated implicate() {
 			List<EndpointCrash> latestFirst = latestFirst();
 			int needed = IMPLICATING_CRASHES;
-			while (needed < latestFirst.size() && !isImplicatedBy(latestFirst.subList(0, needed))) {
+			while (needed < latestFirst.size() && !speaksAgainst(latestFirst.subList(0, needed), 0)) {
 				needed++;
 			}
 			return new SegmentVerdict.Implicated(latestFirst, needed);
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/SegmentVerdict.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/SegmentVerdict.java
@@ -15,7 +15,7 @@
 	List<EndpointCrash> crashes();
 
 	/**
-	 * Several endpoints crashed on requests with the segment, too few to be sure.
+	 * Endpoints crashed on requests with the segment, one too few to be sure.
 	 *
 	 * @param crashes the crashes, the latest first
 	 */
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -92,6 +92,9 @@
 	 */
 	private long answeringSince = -1;
 
+	/** Whether an endpoint has answered this request for some time without a crash. */
+	private boolean harmless;
+
 	Forwarding(RequestContext context, ServedRequest request, CallerChannel caller, long arrivedNanoseconds) {
 		this.context = context;
 		this.request = request;
@@ -365,7 +368,7 @@
 
 	private boolean mayRetry() {
 		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts()
-				&& examinePrompt() instanceof Finding.Clear;
+				&& (this.harmless || examinePrompt() instanceof Finding.Clear);
 	}
 
 	private void giveUpWithoutEndpoint(long retryAfter, long readyInMilliseconds) {
@@ -482,8 +485,6 @@
 
 		private final ServedEndpoint endpoint;
 
-		private boolean harmless;
-
 		private RouteLimits(ServedEndpoint endpoint, long sentAt) {
 			this.endpoint = endpoint;
 			this.progressAt = sentAt;
@@ -505,8 +506,8 @@
 			if (Forwarding.this.answeringSince < 0) {
 				Forwarding.this.answeringSince = this.progressAt;
 			}
-			else if (!this.harmless && answeringMilliseconds() >= HARMLESS_MILLISECONDS) {
-				this.harmless = true;
+			else if (!Forwarding.this.harmless && answeringMilliseconds() >= HARMLESS_MILLISECONDS) {
+				Forwarding.this.harmless = true;
 				recordHarmless();
 			}
 		}
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -504,6 +504,23 @@
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 	}
 
+	/** A repeat crashes the next engine if the prompt is what crashed the first ones. */
+	@ParameterizedTest
+	@CsvSource({ "deadly, 2", "'', 4" })
+	void requestIsNotRepeatedAfterItCrashedTwoEngines(String segment, int sends) throws IOException {
+		route(Execution.REPEATABLE, 4, engine(), List.of());
+		List<ServedEndpoint> crashing = new ArrayList<>();
+		for (String name : List.of("a", "b", "c", "d")) {
+			crashing.add(endpoint(name, "<close>").toEndpoint("m"));
+		}
+		list(crashing.toArray(ServedEndpoint[]::new));
+		RecordingCaller segmentCaller = new RecordingCaller();
+		forward(request(LoadableName.ofModel("m"), null, segment.isEmpty() ? List.of() : List.of(segment)),
+				segmentCaller);
+		Truth.assertThat(segmentCaller.status()).isEqualTo(502);
+		Truth.assertThat(receivedRequests()).isEqualTo(sends);
+	}
+
 	/**
 	 * Guards against endpoints in need getting more requests than they ask for (LIMIT).
 	 */
