A limit beyond all measure starves no endpoint

An endpoint that names a limit above some 6e18 a second would have got no request at all: the number of daemons with a share overflowed and became negative, so that none had one. The number is now compared before it is made whole.

--- a/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
@@ -40,7 +40,7 @@
 	 */
 	public static LimitShare of(double requestsPerSecond, String endpoint, String self, Collection<String> peers) {
 		double limit = Math.max(MINIMUM_REQUESTS_PER_SECOND, requestsPerSecond);
-		long holders = Math.min(peers.size() + 1L, (long) (HOLDERS_PER_REQUEST_PER_SECOND * limit) + MINIMUM_HOLDERS);
+		long holders = (long) Math.min(peers.size() + 1, HOLDERS_PER_REQUEST_PER_SECOND * limit + MINIMUM_HOLDERS);
 		long ownWeight = weight(endpoint, self);
 		long ahead = peers.stream().filter((peer) -> isAhead(weight(endpoint, peer), peer, ownWeight, self)).count();
 		if (ahead >= holders) {
