Models and adapters that are never served are counted over all daemons

A request that is refused at once leaves no trace at the placing daemon, so neither logs nor metrics told which models were starved, and whether no engine had them, when the last copy went, or all replicas were full. Each daemon now counts what it could not serve and tells the placing daemon, which joins the counts, exports two gauges and logs starved models and models without a copy. No decision reads the counts yet.

--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/UnservedDemand.java
@@ -0,0 +1,96 @@
+package org.masticshelf.kernel.residency;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.masticshelf.kernel.serving.LoadableName;
+
+/**
+ * The models and adapters that callers asked all daemons for in vain since one of them
+ * was last served anywhere.
+ * <p>
+ * Each daemon counts what it alone could not serve, so a count ends where the request
+ * that is served arrives at another daemon. This ledger joins the counts with the
+ * requests that run. Invariant: a request that ended before one for the same was last
+ * seen running is not counted. Not thread-safe.
+ */
+public final class UnservedDemand {
+
+	private final Map<LoadableName, Long> runningAt = new HashMap<>();
+
+	private Map<LoadableName, Requests> requests = Map.of();
+
+	/**
+	 * Replaces the counts.
+	 * @param counted the counts of each daemon
+	 * @param running the models and adapters that requests run on at any daemon
+	 * @param now the monotonic time in milliseconds
+	 */
+	public void update(Collection<Counted> counted, Set<LoadableName> running, long now) {
+		running.forEach((loadable) -> this.runningAt.put(loadable, now));
+		Map<LoadableName, Requests> sums = new HashMap<>();
+		for (Counted entry : counted) {
+			long firstAt = now - entry.oldestMilliseconds();
+			Long servedAt = this.runningAt.get(entry.loadable());
+			if (servedAt == null || now - entry.newestMilliseconds() > servedAt) {
+				long countedFrom = (servedAt != null) ? Math.max(firstAt, servedAt) : firstAt;
+				sums.merge(entry.loadable(), new Requests(entry.count(), now - countedFrom), Requests::mergeWith);
+			}
+		}
+		this.requests = Map.copyOf(sums);
+		Set<LoadableName> kept = new HashSet<>(running);
+		counted.forEach((entry) -> kept.add(entry.loadable()));
+		this.runningAt.keySet().retainAll(kept);
+	}
+
+	/**
+	 * Returns the requests that were not served.
+	 * @return the requests by model or adapter
+	 */
+	public Map<LoadableName, Requests> requests() {
+		return this.requests;
+	}
+
+	/**
+	 * The count of one daemon.
+	 *
+	 * @param loadable the model or adapter
+	 * @param count the number of requests
+	 * @param oldestMilliseconds how long ago the first of them ended
+	 * @param newestMilliseconds how long ago the last of them ended
+	 */
+	public record Counted(LoadableName loadable, int count, long oldestMilliseconds, long newestMilliseconds) {
+	}
+
+	/**
+	 * The requests of all daemons for one model or adapter.
+	 *
+	 * @param count their number
+	 * @param sinceMilliseconds how long ago the first of them ended
+	 */
+	public record Requests(int count, long sinceMilliseconds) {
+
+		/** The number of requests from which what they ask for counts as starved. */
+		static final int STARVED_REQUESTS = 4;
+
+		/** The time over which requests are refused for what counts as starved. */
+		static final long STARVED_MILLISECONDS = 8_000;
+
+		/**
+		 * Returns whether callers have asked for long and often enough.
+		 * @return whether what they ask for is starved
+		 */
+		public boolean areStarved() {
+			return this.count >= STARVED_REQUESTS && this.sinceMilliseconds >= STARVED_MILLISECONDS;
+		}
+
+		private Requests mergeWith(Requests other) {
+			return new Requests(this.count + other.count, Math.max(this.sinceMilliseconds, other.sinceMilliseconds));
+		}
+
+	}
+
+}
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -31,6 +31,7 @@
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.request.ModelRates;
+import org.masticshelf.serving.request.UnservedRequests;
 import org.masticshelf.serving.request.WaitingRequests;
 import org.masticshelf.transport.log.EventLog;
 
@@ -119,6 +120,7 @@
 	Placement.Demand demand() {
 		Map<String, Double> allRates = new HashMap<>(this.components.rates().requestsPerSecond());
 		List<PeerMessage.Waiting> waiting = new ArrayList<>(this.components.waitingRequests().summary());
+		List<PeerMessage.Unserved> unserved = new ArrayList<>(this.components.unserved().summary());
 		Map<String, Map<String, Integer>> running = this.components.peers().runningRequests();
 		this.components.loads().runningRequests().forEach((endpoint, counts) -> {
 			Map<String, Integer> sum = running.computeIfAbsent(endpoint, (key) -> new HashMap<>());
@@ -127,8 +129,9 @@
 		for (PeerMessage message : this.components.peers().recentMessages().values()) {
 			message.rates().forEach((model, rate) -> allRates.merge(model, rate, Double::sum));
 			waiting.addAll(message.waiting());
+			unserved.addAll(message.unserved());
 		}
-		return new Placement.Demand(waiting, allRates, running);
+		return new Placement.Demand(waiting, unserved, allRates, running);
 	}
 
 	/** Schedules messages to the peers that are affected by a change. */
@@ -219,12 +222,12 @@
 			Set<String> evidencePeers) {
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
-				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(), null,
-				this.components.limits().reports(), null);
+				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(),
+				List.of(), null, this.components.limits().reports(), null);
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
-						this.components.rates().requestsPerSecond(), decided, recentMessages,
-						this.components.quarantine().evidence(), evidencePeers));
+						this.components.rates().requestsPerSecond(), this.components.unserved().summary(), decided,
+						recentMessages, this.components.quarantine().evidence(), evidencePeers));
 	}
 
 	private boolean hasSharedFindings() {
@@ -325,14 +328,15 @@
 	 * @param loads the loads of the endpoints
 	 * @param directory the endpoints
 	 * @param waitingRequests the requests that wait for an endpoint
+	 * @param unserved the models and adapters that could not be served
 	 * @param rates the request rates of models
 	 * @param placement the placement, active while this daemon holds the duty
 	 * @param limits the limits that endpoints state
 	 * @param quarantine the segments of prompts that crash endpoints
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
-			EndpointDirectory directory, WaitingRequests waitingRequests, ModelRates rates, Placement placement,
-			EndpointLimits limits, PromptQuarantine quarantine) {
+			EndpointDirectory directory, WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates,
+			Placement placement, EndpointLimits limits, PromptQuarantine quarantine) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -40,6 +40,7 @@
 import org.masticshelf.serving.request.RetryBudgets;
 import org.masticshelf.serving.request.ServingMetrics;
 import org.masticshelf.serving.request.StopPhase;
+import org.masticshelf.serving.request.UnservedRequests;
 import org.masticshelf.serving.request.WaitingRequests;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.transport.log.EventLog;
@@ -106,6 +107,8 @@
 
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, this::demandChanged);
 
+	private final UnservedRequests unserved = new UnservedRequests(this.clock);
+
 	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::findingsChanged);
 
 	private final EndpointLimits endpointLimits;
@@ -160,14 +163,15 @@
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
 		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
-				this.peerRegistry, this.grants, this.loads, this.directory, this.waitingRequests, this.rates,
-				this.placement, this.endpointLimits, this.quarantine), this.clock, this.scheduler);
+				this.peerRegistry, this.grants, this.loads, this.directory, this.waitingRequests, this.unserved,
+				this.rates, this.placement, this.endpointLimits, this.quarantine), this.clock, this.scheduler);
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
-				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.rates, new RetryBudgets(),
-				this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(), () -> this.stopPhase,
-				this.clock, new ServingMetrics(this.metrics), EventLog::info));
+				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.unserved, this.rates,
+				new RetryBudgets(), this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(),
+				() -> this.stopPhase, this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
+		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		this.directory.addListener(this.waitingRequests::signal);
 		this.directory.addListener(this.placement::wake);
 		this.directory.addRemovalListener((endpoint) -> {
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
@@ -58,7 +58,7 @@
 		}
 		return Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 				this.common.spent(), this.common.running(), toPlacingPeer ? this.details.waiting() : List.of(),
-				toPlacingPeer ? this.details.rates() : Map.of(),
+				toPlacingPeer ? this.details.rates() : Map.of(), toPlacingPeer ? this.details.unserved() : List.of(),
 				(decided != null) ? decided.withEstimates(estimates) : null, this.common.limits(), evidence));
 	}
 
@@ -67,7 +67,7 @@
 		if (bytes == null) {
 			PeerMessage.Placement decided = this.details.decided();
 			bytes = Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
-					this.common.spent(), this.common.running(), List.of(), Map.of(),
+					this.common.spent(), this.common.running(), List.of(), Map.of(), List.of(),
 					(decided != null) ? decided.withEstimates(Map.of()) : null, this.common.limits(), null));
 			this.commonBytes = bytes;
 		}
@@ -95,6 +95,7 @@
 	 * @param placingPeer the incarnation of the placing daemon, {@code null} if unknown
 	 * @param waiting what this daemon's requests wait for
 	 * @param rates this daemon's requests per second for each model
+	 * @param unserved the models and adapters that this daemon could not serve
 	 * @param decided the placement with all estimates, {@code null} unless this daemon
 	 * places
 	 * @param recentMessages the latest message of each peer
@@ -102,8 +103,9 @@
 	 * @param evidencePeers the incarnations of the peers that are told so this time
 	 */
 	public record Details(@Nullable String placingPeer, List<PeerMessage.Waiting> waiting, Map<String, Double> rates,
-			PeerMessage.@Nullable Placement decided, Map<String, PeerMessage> recentMessages,
-			PeerMessage.CrashEvidence crashEvidence, Set<String> evidencePeers) {
+			List<PeerMessage.Unserved> unserved, PeerMessage.@Nullable Placement decided,
+			Map<String, PeerMessage> recentMessages, PeerMessage.CrashEvidence crashEvidence,
+			Set<String> evidencePeers) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -19,6 +19,8 @@
  * @param waiting what its requests wait for; sent only to the placing daemon
  * @param rates its recent requests per second for each model; sent only to the placing
  * daemon
+ * @param unserved the models and adapters that it could not serve; sent only to the
+ * placing daemon
  * @param placement the placement, {@code null} unless the sender is the placing daemon
  * @param limits the limits that endpoints state, by run of the endpoint
  * @param crashEvidence what it knows about prompts that crash endpoints; sent to a few
@@ -28,7 +30,8 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
-		@Nullable Placement placement, Map<String, StatedLimit> limits, @Nullable CrashEvidence crashEvidence) {
+		List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
+		@Nullable CrashEvidence crashEvidence) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -36,6 +39,7 @@
 		running = orEmpty(running);
 		waiting = (waiting != null) ? List.copyOf(waiting) : List.of();
 		rates = orEmpty(rates);
+		unserved = (unserved != null) ? List.copyOf(unserved) : List.of();
 		limits = orEmpty(limits);
 	}
 
@@ -107,6 +111,20 @@
 	public record Waiting(String pool, String loadable, int count, long oldest, long objective) {
 	}
 
+	/**
+	 * The requests for a model or adapter that had no endpoint, since the sender last
+	 * served one for it.
+	 *
+	 * @param pool the pool
+	 * @param loadable the model or adapter
+	 * @param count the number of requests
+	 * @param oldest how long ago the first of them ended, in milliseconds
+	 * @param newest how long ago the last of them ended, in milliseconds
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	public record Unserved(String pool, String loadable, int count, long oldest, long newest) {
+	}
+
 	/**
 	 * The decisions of the placing daemon.
 	 *
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -23,6 +23,7 @@
 import org.masticshelf.kernel.residency.ResidencyPlanner;
 import org.masticshelf.kernel.residency.ResidencyStep;
 import org.masticshelf.kernel.residency.StoreThroughput;
+import org.masticshelf.kernel.residency.UnservedDemand;
 import org.masticshelf.kernel.residency.WaitingDemand;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -95,6 +96,10 @@
 
 	private final Map<String, Long> readyIn = new HashMap<>();
 
+	private final StarvationMonitor starvation;
+
+	private final Map<String, UnservedDemand> unserved = new HashMap<>();
+
 	private StoreThroughput storeThroughput;
 
 	private final StepExecution execution;
@@ -131,10 +136,19 @@
 		this.settings = settings;
 		this.log = log;
 		this.onChange = onChange;
+		this.starvation = new StarvationMonitor(log);
 		this.storeThroughput = new StoreThroughput(settings.storeLoadsAtOnce());
 		this.execution = new StepExecution(this, access.orders(), clock, settings.holder(), log, this::announceChange);
 	}
 
+	/**
+	 * Returns what is known about models and adapters that are requested and not served.
+	 * @return the monitor, which knows nothing unless this daemon places
+	 */
+	public StarvationMonitor starvation() {
+		return this.starvation;
+	}
+
 	/** Starts the planning thread. */
 	public void start() {
 		Thread.ofVirtual().name("placement").start(this::runRounds);
@@ -251,6 +265,8 @@
 				this.settlingFencing = null;
 				this.engines.clear();
 				this.readyIn.clear();
+				this.unserved.clear();
+				this.starvation.clear();
 				return null;
 			}
 			if (this.settlingFencing == null || this.settlingFencing != tenure.fencing()) {
@@ -336,6 +352,7 @@
 	private void planPool(String pool, EngineProfile profile, Demand demand, Duty.Tenure tenure, long now,
 			List<Runnable> actions) {
 		List<EngineSnapshot> usable = new ArrayList<>();
+		List<EngineSnapshot> snapshots = new ArrayList<>();
 		boolean complete = now - this.newEngineAt > LIST_COMPLETE_MILLISECONDS;
 		int storeLoads = 0;
 		long nextStoreLoad = Long.MAX_VALUE;
@@ -345,6 +362,7 @@
 			}
 			state.setRunning(demand.running().getOrDefault(state.endpoint().identifier(), Map.of()), now);
 			EngineSnapshot engine = state.toEngine(profile, now);
+			snapshots.add(engine);
 			ResidencyStep.Load load = state.modelStep();
 			if (load != null && load.source() == ResidencyStep.Source.STORE) {
 				storeLoads++;
@@ -356,6 +374,9 @@
 			complete &= state.isKnown();
 		}
 		usable.sort(Comparator.comparing(EngineSnapshot::identifier));
+		Map<LoadableName, UnservedDemand.Requests> unserved = updateUnserved(pool, demand, snapshots, now);
+		this.starvation
+			.observe(new StarvationMonitor.Observation(pool, snapshots, profile.models().keySet(), unserved, complete));
 		ResidencyPlan plan = ResidencyPlanner
 			.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool), demand.rates(pool), complete,
 					storeLoads, this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0));
@@ -370,6 +391,20 @@
 		}
 	}
 
+	private Map<LoadableName, UnservedDemand.Requests> updateUnserved(String pool, Demand demand,
+			List<EngineSnapshot> engines, long now) {
+		Set<LoadableName> running = new HashSet<>();
+		for (EngineSnapshot engine : engines) {
+			demand.running()
+				.getOrDefault(engine.identifier(), Map.of())
+				.keySet()
+				.forEach((loadable) -> running.add(LoadableName.parse(loadable)));
+		}
+		UnservedDemand ledger = this.unserved.computeIfAbsent(pool, (key) -> new UnservedDemand());
+		ledger.update(demand.unserved(pool), running, now);
+		return ledger.requests();
+	}
+
 	// Callers on this side of a partition cannot use the engines on the other side.
 	// A silent domain whose engines still report is not partitioned off: only its
 	// daemons have stopped.
@@ -438,11 +473,12 @@
 	 * The demand at all daemons. Immutable.
 	 *
 	 * @param waiting the models and adapters that requests wait for
+	 * @param unserved the models and adapters that could not be served
 	 * @param rates requests per second by pool and model
 	 * @param running the number of running requests by endpoint and model or adapter
 	 */
-	public record Demand(List<PeerMessage.Waiting> waiting, Map<String, Double> rates,
-			Map<String, Map<String, Integer>> running) {
+	public record Demand(List<PeerMessage.Waiting> waiting, List<PeerMessage.Unserved> unserved,
+			Map<String, Double> rates, Map<String, Map<String, Integer>> running) {
 
 		private List<WaitingDemand> waiting(String pool) {
 			Map<String, WaitingDemand> sums = new HashMap<>();
@@ -456,6 +492,17 @@
 			return new ArrayList<>(sums.values());
 		}
 
+		private List<UnservedDemand.Counted> unserved(String pool) {
+			List<UnservedDemand.Counted> ofPool = new ArrayList<>();
+			for (PeerMessage.Unserved entry : this.unserved) {
+				if (entry.pool().equals(pool)) {
+					ofPool.add(new UnservedDemand.Counted(LoadableName.parse(entry.loadable()), entry.count(),
+							entry.oldest(), entry.newest()));
+				}
+			}
+			return ofPool;
+		}
+
 		private Map<String, Double> rates(String pool) {
 			Map<String, Double> ofPool = new HashMap<>();
 			String prefix = pool + "/";
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -155,6 +155,7 @@
 			while (true) {
 				if (this.caller.isGone()) {
 					refundIfNotRun();
+					recordUnserved();
 					finish("caller_gone", 0);
 					return null;
 				}
@@ -266,6 +267,7 @@
 		return switch (result) {
 			case ExchangeResult.Streamed streamed -> {
 				recordHarmless();
+				recordServed();
 				this.context.loads().recordAnswer(endpoint, true);
 				this.context.retries().recordExchange(pool(), true);
 				yield finish("served", 200);
@@ -284,6 +286,7 @@
 		boolean failed = answered.status() >= 500;
 		if (!failed) {
 			recordHarmless();
+			recordServed();
 		}
 		this.context.loads().recordAnswer(endpoint, !failed);
 		this.context.retries().recordExchange(pool(), true);
@@ -382,9 +385,24 @@
 			return;
 		}
 		refundIfNotRun();
+		recordUnserved();
 		refuse(SERVICE_UNAVAILABLE, "no_endpoint", retryAfter);
 	}
 
+	private void recordUnserved() {
+		LoadableName loadable = loadable();
+		if (loadable != null && !this.mayHaveRun) {
+			this.context.unserved().recordUnserved(pool(), loadable);
+		}
+	}
+
+	private void recordServed() {
+		LoadableName loadable = loadable();
+		if (loadable != null) {
+			this.context.unserved().recordServed(pool(), loadable);
+		}
+	}
+
 	private Finding examinePrompt() {
 		return this.context.quarantine().examine(this.request.sharedSegments());
 	}
@@ -424,6 +442,7 @@
 		}
 		if (!this.mayHaveRun) {
 			refundIfNotRun();
+			recordUnserved();
 			return refuse(SERVICE_UNAVAILABLE, "endpoint_refused", RETRY_AFTER_FULL_MILLISECONDS);
 		}
 		return refuse(early ? BAD_GATEWAY : GATEWAY_TIMEOUT, "no_answer", 0);
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -27,6 +27,7 @@
  * @param protocol the wire format of requests to endpoints and their answers
  * @param grants the organisations' grants
  * @param waitingRequests the requests that wait for an endpoint
+ * @param unserved the models and adapters that could not be served
  * @param rates the request rates of models
  * @param retries the retry budgets
  * @param peers the latest messages of peers
@@ -40,7 +41,7 @@
  */
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
-		WaitingRequests waitingRequests, ModelRates rates, RetryBudgets retries, PeerRegistry peers,
-		EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain, Supplier<StopPhase> stopPhase,
-		MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
+		WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates, RetryBudgets retries,
+		PeerRegistry peers, EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain,
+		Supplier<StopPhase> stopPhase, MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.masticshelf.serving.endpoint.EndpointLimits;
+import org.masticshelf.serving.placement.StarvationMonitor;
 import org.masticshelf.serving.quarantine.PromptQuarantine;
 
 /**
@@ -76,6 +77,29 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metrics of models and adapters that are requested and not served.
+	 * They are known to the placing daemon and 0 at all others.
+	 * @param registry the registry
+	 * @param starvation the source of the values
+	 */
+	public static void registerStarvation(PrometheusRegistry registry, StarvationMonitor starvation) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_starved_loadables")
+			.help("Models and adapters that are requested again and again and never served, by kind.")
+			.labelNames("kind")
+			.callback((callback) -> {
+				callback.call(starvation.starvedModels(), "model");
+				callback.call(starvation.starvedAdapters(), "adapter");
+			})
+			.register(registry);
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_models_without_copy")
+			.help("Models whose weights no known engine has, loaded or cached.")
+			.callback((callback) -> callback.call(starvation.modelsWithoutCopy()))
+			.register(registry);
+	}
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome the outcome label
--- a/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerBroadcastTests.java
@@ -21,10 +21,12 @@
 			new PeerMessage.StatedLimit(1.5, 20));
 
 	private static final PeerMessage COMMON = new PeerMessage("self", "10.0.0.1:1", 7, Map.of("org", 5.0),
-			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), null, LIMITS, null);
+			Map.of("e", Map.of("m", 2)), List.of(), Map.of(), List.of(), null, LIMITS, null);
 
 	private static final PeerMessage.Waiting WAITING = new PeerMessage.Waiting("pool", "m", 1, 10, 100);
 
+	private static final PeerMessage.Unserved UNSERVED = new PeerMessage.Unserved("pool", "n", 3, 9_000, 50);
+
 	private static final PeerMessage.CrashEvidence EVIDENCE = new PeerMessage.CrashEvidence(
 			List.of(new PeerMessage.Crash("e/1", "10.0.1.1:1", 20, Map.of("5c", 0))), Map.of("91", 10L));
 
@@ -36,9 +38,9 @@
 
 	private static PeerBroadcast broadcast(PeerMessage.@Nullable Placement decided) {
 		PeerMessage fromWaitingPeer = new PeerMessage("waits", "10.0.0.2:1", 1, Map.of(), Map.of(), List.of(WAITING),
-				Map.of(), null, Map.of(), null);
+				Map.of(), List.of(), null, Map.of(), null);
 		return new PeerBroadcast(COMMON, new PeerBroadcast.Details("places", List.of(WAITING), Map.of("pool/m", 1.0),
-				decided, Map.of("waits", fromWaitingPeer), EVIDENCE, Set.of("learns")));
+				List.of(UNSERVED), decided, Map.of("waits", fromWaitingPeer), EVIDENCE, Set.of("learns")));
 	}
 
 	private static PeerMessage decode(byte @Nullable [] bytes) {
@@ -54,7 +56,7 @@
 		Truth.assertThat(broadcast.messageTo("one", true)).isSameInstanceAs(broadcast.messageTo("two", true));
 		Truth.assertThat(decode(broadcast.messageTo("one", true)))
 			.isEqualTo(new PeerMessage("self", "10.0.0.1:1", 7, COMMON.spent(), COMMON.running(), List.of(), Map.of(),
-					placement(true).withEstimates(Map.of()), LIMITS, null));
+					List.of(), placement(true).withEstimates(Map.of()), LIMITS, null));
 	}
 
 	@Test
@@ -69,6 +71,7 @@
 	void tellsWaitingRequestsToThePlacingDaemonOnly() {
 		PeerBroadcast broadcast = broadcast(null);
 		Truth.assertThat(decode(broadcast.messageTo("places", false)).waiting()).containsExactly(WAITING);
+		Truth.assertThat(decode(broadcast.messageTo("places", false)).unserved()).containsExactly(UNSERVED);
 		Truth.assertThat(decode(broadcast.messageTo("places", false)).rates()).containsExactly("pool/m", 1.0);
 		Truth.assertThat(decode(broadcast.messageTo("other", true)).waiting()).isEmpty();
 	}
--- a/serving/src/test/java/org/masticshelf/serving/peer/PeerRegistryTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/peer/PeerRegistryTests.java
@@ -26,7 +26,7 @@
 
 	private static PeerMessage message(String incarnation, PeerMessage.@Nullable Placement placement) {
 		return new PeerMessage(incarnation, "127.0.0.1:1", 1, Map.of(), Map.of("e", Map.of("m", 2)), List.of(),
-				Map.of(), placement, Map.of(), null);
+				Map.of(), List.of(), placement, Map.of(), null);
 	}
 
 	private static PeerMessage.Placement placement(long fencing, long readyInMilliseconds) {
@@ -71,8 +71,8 @@
 	@Test
 	void messageSurvivesJsonRoundTripWithoutEmptyParts() {
 		PeerMessage sent = new PeerMessage("a", "127.0.0.1:1", 7, Map.of("org", 2.5), Map.of(),
-				List.of(new PeerMessage.Waiting("pool", "m/a1", 2, 30, 470)), Map.of(), placement(3, 40), Map.of(),
-				null);
+				List.of(new PeerMessage.Waiting("pool", "m/a1", 2, 30, 470)), Map.of(),
+				List.of(new PeerMessage.Unserved("pool", "n", 3, 9_000, 50)), placement(3, 40), Map.of(), null);
 		byte[] bytes = Json.toBytes(sent);
 		Truth.assertThat(Json.toValue(bytes, PeerMessage.class)).isEqualTo(sent);
 		Truth.assertThat(Json.toTree(bytes).has("running")).isFalse();
--- a/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
@@ -48,7 +48,7 @@
 
 	private final FakeDuty duty = new FakeDuty();
 
-	private volatile Placement.Demand demand = new Placement.Demand(List.of(), Map.of(), Map.of());
+	private volatile Placement.Demand demand = new Placement.Demand(List.of(), List.of(), Map.of(), Map.of());
 
 	private volatile String cutOff = "none";
 
@@ -92,8 +92,8 @@
 	}
 
 	private void requestModel(String model) {
-		this.demand = new Placement.Demand(List.of(new PeerMessage.Waiting("pool", model, 1, 10, 3_990)), Map.of(),
-				Map.of());
+		this.demand = new Placement.Demand(List.of(new PeerMessage.Waiting("pool", model, 1, 10, 3_990)), List.of(),
+				Map.of(), Map.of());
 	}
 
 	private static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -72,6 +72,8 @@
 
 	private final ModelRates rates = new ModelRates(this.clock);
 
+	private final UnservedRequests unserved = new UnservedRequests(this.clock);
+
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, () -> {
 	});
 
@@ -145,9 +147,9 @@
 
 	private void forward(ServedRequest request, RecordingCaller requestCaller) {
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
-				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests, this.rates,
-				new RetryBudgets(), this.peerRegistry, this.limits, this.quarantine, "domain", () -> this.phase,
-				this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
+				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests,
+				this.unserved, this.rates, new RetryBudgets(), this.peerRegistry, this.limits, this.quarantine,
+				"domain", () -> this.phase, this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
 
