--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyInput.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyInput.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ModelProfile;
 
 /**
@@ -11,6 +12,7 @@
  * @param engines the engines that accept new work, ordered by identifier
  * @param models the models by name
  * @param waiting the requests that wait, by model or adapter
+ * @param unserved the requests that were not served, by model or adapter
  * @param requestsPerSecond the recent request rate of each model
  * @param complete whether all engines of the pool are known
  * @param storeLoads the number of loads from the weight store in progress
@@ -19,14 +21,16 @@
  * is none
  */
 public record ResidencyInput(List<EngineSnapshot> engines, Map<String, ModelProfile> models,
-		List<WaitingDemand> waiting, Map<String, Double> requestsPerSecond, boolean complete, int storeLoads,
-		int maximumStoreLoads, long nextStoreLoadMilliseconds) {
+		List<WaitingDemand> waiting, Map<LoadableName, UnservedDemand.Requests> unserved,
+		Map<String, Double> requestsPerSecond, boolean complete, int storeLoads, int maximumStoreLoads,
+		long nextStoreLoadMilliseconds) {
 
 	/** Creates an input. */
 	public ResidencyInput {
 		engines = List.copyOf(engines);
 		models = Map.copyOf(models);
 		waiting = List.copyOf(waiting);
+		unserved = Map.copyOf(unserved);
 		requestsPerSecond = Map.copyOf(requestsPerSecond);
 	}
 
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -29,6 +29,8 @@
 
 	private final List<WaitingDemand> waiting = new ArrayList<>();
 
+	private final Map<LoadableName, UnservedDemand.Requests> unserved = new HashMap<>();
+
 	private final Map<String, Double> rates = new HashMap<>();
 
 	private final Map<String, String> domains = new HashMap<>();
@@ -38,8 +40,8 @@
 	private boolean complete;
 
 	private ResidencyPlan plan() {
-		return ResidencyPlanner.plan(new ResidencyInput(this.engines, this.models, this.waiting, this.rates,
-				this.complete, this.storeLoads, 4, (this.storeLoads > 0) ? 3_000 : 0));
+		return ResidencyPlanner.plan(new ResidencyInput(this.engines, this.models, this.waiting, this.unserved,
+				this.rates, this.complete, this.storeLoads, 4, (this.storeLoads > 0) ? 3_000 : 0));
 	}
 
 	private void addModel(String name, int adapters) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -377,9 +377,9 @@
 		Map<LoadableName, UnservedDemand.Requests> unserved = updateUnserved(pool, demand, snapshots, now);
 		this.starvation
 			.observe(new StarvationMonitor.Observation(pool, snapshots, profile.models().keySet(), unserved, complete));
-		ResidencyPlan plan = ResidencyPlanner
-			.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool), demand.rates(pool), complete,
-					storeLoads, this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0));
+		ResidencyPlan plan = ResidencyPlanner.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool),
+				unserved, demand.rates(pool), complete, storeLoads, this.storeThroughput.loadsAtFullSpeed(),
+				(storeLoads > 0) ? nextStoreLoad : 0));
 		plan.readyInMilliseconds()
 			.forEach((model, readyInMilliseconds) -> this.readyIn.put(PeerRegistry.estimateKey(pool, model),
 					readyInMilliseconds));
