A load from the weight store is compared with the loads at its begin

Cause: the mean of the loads in progress at a load's begin and end was taken for what slowed it down. All thirteen loads of the trace took their nominal 7.8 s times half of the loads in progress when they began (1: 8.0, 2: 8.2, 3: 12.0, 4: 15.8 s), whatever ended meanwhile.

The number at the begin is used alone. The recorded loads stand in StoreThroughputTests; with the means that the old code took from the same loads (4.0, 3.5, 3.0) it learned 3, 2 and 1.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/StoreThroughput.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/StoreThroughput.java
@@ -6,7 +6,8 @@
  * <p>
  * Designed for requests for more models than the weight store can deliver: beyond its
  * number, each load takes longer in proportion, so that more loads at once deliver no
- * more models, block more engines, and are promised to callers too early. Immutable.
+ * more models, block more engines, and are promised to callers too early. How much longer
+ * a load takes is settled when it begins. Immutable.
  *
  * @param loadsAtFullSpeed the number of loads
  */
@@ -24,11 +25,11 @@
 	 * that there may be more.
 	 * @param tookMilliseconds how long the load took
 	 * @param nominalMilliseconds how long it takes at full speed
-	 * @param concurrentLoads the mean number of loads in progress meanwhile, including
+	 * @param concurrentLoads the number of loads in progress when it began, including
 	 * this one
 	 * @return the new estimate
 	 */
-	public StoreThroughput learn(long tookMilliseconds, long nominalMilliseconds, double concurrentLoads) {
+	public StoreThroughput learn(long tookMilliseconds, long nominalMilliseconds, int concurrentLoads) {
 		if (nominalMilliseconds <= 0 || tookMilliseconds <= 0) {
 			return this;
 		}
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/StoreThroughputTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/StoreThroughputTests.java
@@ -1,6 +1,7 @@
 package org.masticshelf.kernel.residency;
 
 import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -15,17 +16,32 @@
 	 * Learns from one load.
 	 * @param known the number of loads at full speed before
 	 * @param took how long the load took
-	 * @param concurrent the mean number of concurrent loads
+	 * @param concurrent the number of concurrent loads when it began
 	 * @param expected the number after it
 	 */
 	@ParameterizedTest
 	@CsvSource({ "4, 15600, 4, 2", "4, 10400, 4, 3", "4, 31200, 4, 1", "4, 8000, 4, 5", "4, 8000, 3, 4",
 			"2, 9000, 1, 1", "8, 7800, 8, 8", "1, 20000, 1, 1", "4, 15600, 8, 4", "4, 0, 4, 4" })
-	void learnsFromLoad(int known, long took, double concurrent, int expected) {
+	void learnsFromLoad(int known, long took, int concurrent, int expected) {
 		Truth.assertThat(new StoreThroughput(known).learn(took, NOMINAL_MILLISECONDS, concurrent).loadsAtFullSpeed())
 			.isEqualTo(expected);
 	}
 
+	/**
+	 * Replays recorded loads of a store that serves two at full speed, of which the later
+	 * ones began while earlier, slower ones ended.
+	 */
+	@Test
+	void slowLoadsThatOutlastOthersDoNotHalveTheThroughput() {
+		StoreThroughput throughput = new StoreThroughput(4);
+		long[][] loads = { { 8_013, 1 }, { 8_203, 2 }, { 11_969, 3 }, { 15_844, 4 }, { 15_811, 4 }, { 15_871, 4 } };
+		for (long[] load : loads) {
+			throughput = throughput.learn(load[0], NOMINAL_MILLISECONDS, (int) load[1]);
+			Truth.assertThat(throughput.loadsAtFullSpeed()).isAtLeast(2);
+		}
+		Truth.assertThat(throughput.loadsAtFullSpeed()).isEqualTo(2);
+	}
+
 	/**
 	 * Replays a queue of rare models that never ends against a store that serves some
 	 * loads at full speed and slows down in proportion beyond.
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -295,9 +295,9 @@
 	 * Learns from a completed load how many loads the weight store serves at full speed.
 	 * @param load the load
 	 * @param tookMilliseconds how long it took
-	 * @param concurrentLoads the mean number of loads in progress meanwhile
+	 * @param concurrentLoads the number of loads in progress when it began
 	 */
-	void learnStoreLoad(ResidencyStep.Load load, long tookMilliseconds, double concurrentLoads) {
+	void learnStoreLoad(ResidencyStep.Load load, long tookMilliseconds, int concurrentLoads) {
 		StoreThroughput before;
 		StoreThroughput after;
 		synchronized (this) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -243,7 +243,7 @@
 
 	private void awaitLoad(EngineState state, ResidencyStep.Load load) {
 		long begunAt = this.clock.milliseconds();
-		int storeLoadsAtBegin = this.placement.countStoreLoads();
+		int storeLoads = this.placement.countStoreLoads();
 		long overdueAt = begunAt + OVERDUE_FACTOR * load.milliseconds() + OVERDUE_MILLISECONDS;
 		boolean local = load.source() != ResidencyStep.Source.STORE;
 		long dueAt = begunAt + load.milliseconds() + (local ? LOCAL_SLACK_MILLISECONDS : 0);
@@ -260,8 +260,7 @@
 			boolean presumable = local && this.clock.milliseconds() >= dueAt;
 			if (report != null && endLoad(state, load, report, presumable)) {
 				if (!local) {
-					this.placement.learnStoreLoad(load, this.clock.milliseconds() - begunAt,
-							(storeLoadsAtBegin + this.placement.countStoreLoads()) / 2.0);
+					this.placement.learnStoreLoad(load, this.clock.milliseconds() - begunAt, storeLoads);
 				}
 				return;
 			}
