Replicas of busy models leave the weight store to models that nothing else has

Overloaded models are planned first, so they took every place. While a model that only the weight store has is missing, a replica now takes one load from the store at a time. The test's third case failed before (the busy model was loaded).

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -92,6 +92,8 @@
 
 	private int storeLoads;
 
+	private boolean storeAwaited;
+
 	private long nextStoreLoadMilliseconds;
 
 	private ResidencyPlanner(ResidencyInput input) {
@@ -137,8 +139,9 @@
 	public static ResidencyPlan plan(ResidencyInput input) {
 		ResidencyPlanner planner = new ResidencyPlanner(input);
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
+		List<String> missing = planner.missingModels();
 		planner.planOverloadedModels();
-		planner.planMissingModels();
+		planner.planMissingModels(missing);
 		planner.estimateAdapterReadiness();
 		planner.planReplicas();
 		planner.planPrefetches();
@@ -170,9 +173,16 @@
 		return mayGrow && (rate / count >= OVERLOADED_REQUESTS_PER_SECOND || waiting >= OVERLOADED_WAITING_REQUESTS);
 	}
 
-	private void planMissingModels() {
-		for (String model : new MissingModels(this.input, this.capacity, this.replicas.keySet(), this.modelsOnEngines)
-			.loadOrder()) {
+	private List<String> missingModels() {
+		List<String> missing = new MissingModels(this.input, this.capacity, this.replicas.keySet(),
+				this.modelsOnEngines)
+			.loadOrder();
+		this.storeAwaited = missing.stream().anyMatch((model) -> !this.modelsOnEngines.contains(model));
+		return missing;
+	}
+
+	private void planMissingModels(List<String> missing) {
+		for (String model : missing) {
 			boolean expected = this.awaitedModels.contains(model) || this.capacity.isBusy(model);
 			planLoad(profile(model), expected ? Reason.WAITED_FOR : Reason.REFUSED);
 		}
@@ -297,9 +307,7 @@
 
 	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
-		if (reason.isForReplica() && source == ResidencyStep.Source.STORE
-				&& this.capacity.requestsPerSecond(profile.name())
-						/ this.replicas.getOrDefault(profile.name(), 1) < STORE_LOAD_REQUESTS_PER_SECOND) {
+		if (reason.isForReplica() && source == ResidencyStep.Source.STORE && !isReplicaWorthStoreLoad(profile)) {
 			return null;
 		}
 		long loadMilliseconds = loadMilliseconds(profile, source);
@@ -322,6 +330,14 @@
 				readyIn + adapterPenalty + domainPenalty);
 	}
 
+	// Models that only the weight store has can be served by nothing else, whereas a
+	// further replica of a busy model relieves others.
+	private boolean isReplicaWorthStoreLoad(ModelProfile profile) {
+		double ratePerReplica = this.capacity.requestsPerSecond(profile.name())
+				/ this.replicas.getOrDefault(profile.name(), 1);
+		return ratePerReplica >= STORE_LOAD_REQUESTS_PER_SECOND && !(this.storeAwaited && this.storeLoads > 0);
+	}
+
 	private boolean hasReplicaIn(String failureDomain, String model) {
 		return this.input.engines()
 			.stream()
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -373,6 +373,29 @@
 		Truth.assertThat(planned).isEqualTo(expected);
 	}
 
+	/**
+	 * Replicas of busy models must not keep the weight store from models that nothing
+	 * else has.
+	 * @param refused whether callers were refused for such a model
+	 * @param loads the loads from the weight store in progress
+	 * @param expected the first load
+	 */
+	@ParameterizedTest
+	@CsvSource({ "false, 1, busy", "true, 0, busy", "true, 1, rare" })
+	void replicasTakeOneLoadFromTheStoreAtATimeWhileModelsAreMissing(boolean refused, int loads, String expected) {
+		addModel("busy", 0);
+		addModel("rare", 0);
+		addEngine("one", Map.of("busy", inUse()), Set.of("busy"));
+		addEngine("two", Map.of(), Set.of());
+		addEngine("three", Map.of(), Set.of());
+		this.rates.put("busy", 20.0);
+		if (refused) {
+			this.unserved.put(LoadableName.ofModel("rare"), new UnservedDemand.Requests(2, 1_000));
+		}
+		this.storeLoads = loads;
+		Truth.assertThat(plan().steps().getFirst().loadable()).isEqualTo(LoadableName.ofModel(expected));
+	}
+
 	@Test
 	void starvedModelIsFetchedBeforeOneThatARequestBeginsToWaitFor() {
 		for (String name : List.of("a", "b", "c")) {
