The weight store fetches missing models before the first request

Such a model may now take the place of one that has a single replica and stays on its engine's disk, if other models have several replicas, so that the busy ones are known. One engine in eight loads ahead at most, and each model is fetched once a tenure. The test's first case failed before; the one that evicts nothing where no replicas tell which models are busy, and evictsNothingForPrefetches, hold.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyInput.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyInput.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ModelProfile;
@@ -14,6 +15,7 @@
  * @param waiting the requests that wait, by model or adapter
  * @param unserved the requests that were not served, by model or adapter
  * @param requestsPerSecond the recent request rate of each model
+ * @param fetched the models that were fetched from the weight store before
  * @param complete whether all engines of the pool are known
  * @param storeLoads the number of loads from the weight store in progress
  * @param maximumStoreLoads the maximum number of concurrent loads from the weight store
@@ -22,8 +24,8 @@
  */
 public record ResidencyInput(List<EngineSnapshot> engines, Map<String, ModelProfile> models,
 		List<WaitingDemand> waiting, Map<LoadableName, UnservedDemand.Requests> unserved,
-		Map<String, Double> requestsPerSecond, boolean complete, int storeLoads, int maximumStoreLoads,
-		long nextStoreLoadMilliseconds) {
+		Map<String, Double> requestsPerSecond, Set<String> fetched, boolean complete, int storeLoads,
+		int maximumStoreLoads, long nextStoreLoadMilliseconds) {
 
 	/** Creates an input. */
 	public ResidencyInput {
@@ -32,6 +34,7 @@
 		waiting = List.copyOf(waiting);
 		unserved = Map.copyOf(unserved);
 		requestsPerSecond = Map.copyOf(requestsPerSecond);
+		fetched = Set.copyOf(fetched);
 	}
 
 }
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -28,9 +28,10 @@
  * many rare ones would take every engine that becomes free. Models that no engine holds
  * come next, in the order of {@link MissingModels}, and then further replicas of busy
  * models, in failure domains that have none. Last, while there are no requests, models
- * that no engine has are fetched ahead of demand, so that they are on a disk. Room is
- * made by evicting the models that have been idle longest, never a model with running or
- * waiting requests unless it has spare replicas, and never the only replica of a busy
+ * that no engine has are fetched ahead of demand, so that they are on a disk, and may
+ * take the place of one that is expected to be rare and stays on its engine's disk. Room
+ * is made by evicting the models that have been idle longest, never a model with running
+ * or waiting requests unless it has spare replicas, and never the only replica of a busy
  * model for one that is not busy. Slow loads avoid engines whose adapters are requested.
  * <p>
  * An instance computes a single plan. Not thread-safe.
@@ -66,6 +67,9 @@
 	 */
 	static final int OVERLOADED_WAITING_REQUESTS = 3;
 
+	/** One engine in this many may load a model that no request has asked for. */
+	static final int ENGINES_PER_PREFETCH = 8;
+
 	private static final long UNLOAD_MILLISECONDS = 100;
 
 	private final ResidencyInput input;
@@ -217,7 +221,8 @@
 
 	// While there are no requests, models that no engine has are fetched once, those with
 	// the most adapters first because requests may use any of them. Once there are
-	// requests, a slow load would keep an engine from the fast loads that they need.
+	// requests, a slow load would keep an engine from the fast loads that they need, so
+	// most engines are left free for the moment at which they begin.
 	private void planPrefetches() {
 		boolean hasRequests = !this.input.waiting().isEmpty() || !this.input.requestsPerSecond().isEmpty();
 		if (!this.input.complete() || hasRequests) {
@@ -225,14 +230,15 @@
 		}
 		List<ModelProfile> absent = new ArrayList<>();
 		this.input.models().values().forEach((profile) -> {
-			if (!this.modelsOnEngines.contains(profile.name())) {
+			if (!this.modelsOnEngines.contains(profile.name()) && !this.input.fetched().contains(profile.name())) {
 				absent.add(profile);
 			}
 		});
 		absent.sort(Comparator.<ModelProfile>comparingInt((profile) -> -profile.adapters())
 			.thenComparing(ModelProfile::name));
+		int maximum = Math.max(1, this.input.engines().size() / ENGINES_PER_PREFETCH);
 		for (ModelProfile profile : absent) {
-			if (this.storeLoads >= this.input.maximumStoreLoads()) {
+			if (this.storeLoads >= Math.min(maximum, this.input.maximumStoreLoads())) {
 				return;
 			}
 			planLoad(profile, Reason.ANTICIPATED);
@@ -319,7 +325,7 @@
 				* Math.min(1, this.adapterRequestsPerSecond.computeIfAbsent(engine.identifier(),
 						(key) -> adapterRequestsPerSecond(engine)) / FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND));
 		EngineCapacity.Eviction eviction = this.capacity.chooseEviction(engine, profile, maximumLoss(profile, reason),
-				(victim) -> isEvictable(victim, profile, reason));
+				(victim) -> isEvictable(engine, victim, profile, reason));
 		if (eviction == null) {
 			return null;
 		}
@@ -344,14 +350,21 @@
 			.anyMatch((engine) -> engine.failureDomain().equals(failureDomain) && engine.holdsOrLoads(model));
 	}
 
-	private boolean isEvictable(String victim, ModelProfile profile, Reason reason) {
+	private boolean isEvictable(EngineSnapshot engine, String victim, ModelProfile profile, Reason reason) {
 		if (reason == Reason.ANTICIPATED) {
-			return false;
+			return isExpectedToBeRare(victim) && sourceOf(engine, victim) != ResidencyStep.Source.STORE;
 		}
 		return !this.capacity.isBusy(victim) || this.capacity.isBusy(profile.name())
 				|| this.replicas.getOrDefault(victim, 1) > 1;
 	}
 
+	// Before any request, the replicas alone tell which models are busy, and they do only
+	// if some model has several.
+	private boolean isExpectedToBeRare(String model) {
+		return this.replicas.getOrDefault(model, 0) == 1
+				&& this.replicas.values().stream().anyMatch((count) -> count > 1);
+	}
+
 	private double maximumLoss(ModelProfile profile, Reason reason) {
 		return switch (reason) {
 			case WAITED_FOR, REFUSED, ANTICIPATED -> Double.MAX_VALUE;
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/RareBurstReplayTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/RareBurstReplayTests.java
@@ -118,7 +118,7 @@
 				.toList();
 			ResidencyPlan plan = ResidencyPlanner
 				.plan(new ResidencyInput(this.engines.stream().map((engine) -> engine.snapshot(now)).toList(),
-						this.models, demands, Map.of(), Map.of(), true, 0, 4, 0));
+						this.models, demands, Map.of(), Map.of(), Set.of(), true, 0, 4, 0));
 			for (ResidencyStep planned : plan.steps()) {
 				if (planned instanceof ResidencyStep.Load load) {
 					this.engines.stream()
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,6 +34,8 @@
 
 	private final Map<String, Double> rates = new HashMap<>();
 
+	private final Set<String> fetched = new HashSet<>();
+
 	private final Map<String, String> domains = new HashMap<>();
 
 	private int storeLoads;
@@ -41,7 +44,7 @@
 
 	private ResidencyPlan plan() {
 		return ResidencyPlanner.plan(new ResidencyInput(this.engines, this.models, this.waiting, this.unserved,
-				this.rates, this.complete, this.storeLoads, 4, (this.storeLoads > 0) ? 3_000 : 0));
+				this.rates, this.fetched, this.complete, this.storeLoads, 4, (this.storeLoads > 0) ? 3_000 : 0));
 	}
 
 	private void addModel(String name, int adapters) {
@@ -409,6 +412,30 @@
 		Truth.assertThat(plan().steps().getFirst().loadable()).isEqualTo(LoadableName.ofModel("c"));
 	}
 
+	/**
+	 * The weight store has time before the first request, but engines are full.
+	 * @param copies the engines on which the first model is loaded
+	 * @param fetchedBefore whether the absent model was fetched before
+	 * @param expected the model that makes room for the absent one
+	 */
+	@ParameterizedTest
+	@CsvSource({ "2, false, b", "1, false, none", "2, true, none" })
+	void modelThatNoEngineHasIsFetchedBeforeTheFirstRequest(int copies, boolean fetchedBefore, String expected) {
+		for (String name : List.of("a", "b", "c", (copies > 1) ? "a" : "d", "e", "f", "absent")) {
+			addModel(name, 0);
+		}
+		addEngine("one", Map.of("a", idleFor(9_000), "b", idleFor(9_000), "c", idleFor(9_000)), Set.of("a", "b"));
+		addEngine("two", Map.of((copies > 1) ? "a" : "d", idleFor(9_000), "e", idleFor(9_000), "f", idleFor(9_000)),
+				Set.of());
+		this.complete = true;
+		if (fetchedBefore) {
+			this.fetched.add("absent");
+		}
+		List<ResidencyStep> steps = plan().steps();
+		String victim = steps.isEmpty() ? "none" : String.join(" ", ((ResidencyStep.Load) steps.getFirst()).victims());
+		Truth.assertThat(victim).isEqualTo(expected);
+	}
+
 	@Test
 	void prefetchesNothingWhileThereAreRequests() {
 		addModel("a", 0);
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/UnservedModelsReplayTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/UnservedModelsReplayTests.java
@@ -126,7 +126,7 @@
 			this.unserved.forEach((loadable, entry) -> refused.put(loadable,
 					new UnservedDemand.Requests(entry.count, now - entry.since)));
 			ResidencyPlan plan = ResidencyPlanner.plan(new ResidencyInput(snapshots, this.models, demand, refused,
-					Map.of(), true, loading.size(), STORE_LOADS, next));
+					Map.of(), Set.of(), true, loading.size(), STORE_LOADS, next));
 			this.readyIn = plan.readyInMilliseconds();
 			for (ResidencyStep planned : plan.steps()) {
 				if (planned instanceof ResidencyStep.Load load) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -100,6 +100,8 @@
 
 	private final Map<String, UnservedDemand> unserved = new HashMap<>();
 
+	private final Set<String> fetched = new HashSet<>();
+
 	private StoreThroughput storeThroughput;
 
 	private final StepExecution execution;
@@ -266,6 +268,7 @@
 				this.engines.clear();
 				this.readyIn.clear();
 				this.unserved.clear();
+				this.fetched.clear();
 				this.starvation.clear();
 				return null;
 			}
@@ -378,8 +381,8 @@
 		this.starvation
 			.observe(new StarvationMonitor.Observation(pool, snapshots, profile.models().keySet(), unserved, complete));
 		ResidencyPlan plan = ResidencyPlanner.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool),
-				unserved, demand.rates(pool), complete, storeLoads, this.storeThroughput.loadsAtFullSpeed(),
-				(storeLoads > 0) ? nextStoreLoad : 0));
+				unserved, demand.rates(pool), this.fetched, complete, storeLoads,
+				this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0));
 		plan.readyInMilliseconds()
 			.forEach((model, readyInMilliseconds) -> this.readyIn.put(PeerRegistry.estimateKey(pool, model),
 					readyInMilliseconds));
@@ -418,6 +421,9 @@
 			return;
 		}
 		state.beginStep(step, now);
+		if (step instanceof ResidencyStep.Load load && load.source() == ResidencyStep.Source.STORE) {
+			this.fetched.add(load.loadable().model());
+		}
 		actions.add(() -> this.execution.execute(state, step, tenure));
 	}
 
