--- a/kernel/src/main/java/org/masticshelf/kernel/port/KeyValueStore.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/port/KeyValueStore.java
@@ -66,6 +66,17 @@
 	 */
 	Watch watch(String prefix, long fromRevision, WatchListener listener);
 
+	/**
+	 * Adds a listener that is called after the service has returned from an earlier
+	 * state. Everything that was written since that state is lost, leases included,
+	 * although it had been acknowledged. Revisions that are named afterwards are above
+	 * all that were named before. A service that never loses what it has acknowledged
+	 * calls no listener.
+	 * @param listener the listener
+	 */
+	default void addRestoreListener(Runnable listener) {
+	}
+
 	@Override
 	void close();
 
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -172,6 +172,7 @@
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
+		ServingMetrics.registerRestorations(this.metrics, ports.store());
 		this.directory.addListener(this.waitingRequests::signal);
 		this.directory.addListener(this.placement::wake);
 		this.directory.addRemovalListener((endpoint) -> {
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.placement.StarvationMonitor;
 import org.masticshelf.serving.quarantine.PromptQuarantine;
@@ -100,6 +101,19 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metric of the key-value service's returns from an earlier state.
+	 * @param registry the registry
+	 * @param store the key-value service
+	 */
+	public static void registerRestorations(PrometheusRegistry registry, KeyValueStore store) {
+		Counter restorations = Counter.builder()
+			.name("masticshelf_serving_store_restorations_total")
+			.help("Times that the key-value service was seen to have returned from an earlier state.")
+			.register(registry);
+		store.addRestoreListener(restorations::inc);
+	}
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome the outcome label
