--- a/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
+++ b/control/src/test/java/org/masticshelf/control/duty/LeasedDutiesTests.java
@@ -12,12 +12,14 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticshelf.standins.keyvalue.KeyValueCall;
+import org.masticshelf.standins.keyvalue.KeyValueState;
 
 class LeasedDutiesTests {
 
@@ -105,6 +107,54 @@
 		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
 	}
 
+	/**
+	 * The service returns from a copy that is older than the duty's last holder.
+	 * @param holderCutOff whether the holder is cut off from the service meanwhile
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void dutyIsNeverHeldTwiceNorFencedLowerAfterTheServiceWasRestored(boolean holderCutOff) {
+		DutyFleet.Daemon former = holder();
+		KeyValueState copy = this.fleet.store.snapshotState();
+		this.fleet.freeze(former);
+		this.fleet.runRounds(MAXIMUM_MOVE_ROUNDS);
+		this.fleet.resume(former);
+		this.fleet.runRounds(4);
+		DutyFleet.Daemon old = holder();
+		long fencing = fencing();
+		Truth.assertThat(old).isNotSameInstanceAs(former);
+		if (holderCutOff) {
+			old.client.faults().setDown(true);
+		}
+		this.fleet.store.restoreInOrder(copy);
+		for (int round = 0; round < MAXIMUM_MOVE_ROUNDS; round++) {
+			this.fleet.runRounds(1);
+			Truth.assertThat(this.fleet.holders(DUTY).size()).isAtMost(1);
+			for (DutyFleet.Daemon holder : this.fleet.holders(DUTY)) {
+				Duty.Tenure tenure = holder.duties.compete(DUTY).tenure();
+				Truth.assertThat((tenure != null) ? tenure.fencing() : 0)
+					.isAtLeast((holder == old) ? fencing : fencing + 1);
+			}
+		}
+		Truth.assertThat(this.fleet.holders(DUTY)).hasSize(1);
+	}
+
+	@Tag("known-red")
+	@Test
+	void holderGoesOnAtOnceAfterTheServiceLostItsDuty() {
+		DutyFleet other = new DutyFleet(4, 4);
+		other.runRounds(4);
+		KeyValueState copy = other.store.snapshotState();
+		other.daemons.forEach((daemon) -> daemon.duties.compete(DUTY));
+		other.runRounds(16);
+		DutyFleet.Daemon holder = other.holders(DUTY).get(0);
+		other.store.restoreInOrder(copy);
+		Truth.assertThat(other.holders(DUTY)).isEmpty();
+		other.runRounds(3);
+		Truth.assertThat(other.holders(DUTY)).containsExactly(holder);
+	}
+
 	@Test
 	void movesBeforeTheLeaseOfLeavingDaemonIsReleased() {
 		DutyFleet.Daemon leaving = holder();
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/InMemoryKeyValue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 
 import org.jspecify.annotations.Nullable;
@@ -39,6 +40,8 @@
 
 	private final Set<RunningWatch> watches = new LinkedHashSet<>();
 
+	private final List<Runnable> restoreListeners = new CopyOnWriteArrayList<>();
+
 	private final ReportQueue reports = new ReportQueue();
 
 	private final KeyValueFaults faults = new KeyValueFaults(() -> breakWatches("the service is down"));
@@ -124,6 +127,21 @@
 		breakWatches("the service was restored");
 	}
 
+	/**
+	 * Puts an earlier state in place and tells all clients, which are given revisions
+	 * above those from before. Breaks all watches.
+	 * @param earlier the state
+	 */
+	public void restoreInOrder(KeyValueState earlier) {
+		synchronized (this.lock) {
+			long reached = this.state.revision();
+			this.state = earlier.copy();
+			this.state.skipRevisions(reached + 1);
+		}
+		this.restoreListeners.forEach(Runnable::run);
+		breakWatches("the service was restored");
+	}
+
 	/**
 	 * Ends the leases that have run out and reports the deletions.
 	 */
@@ -183,6 +201,11 @@
 		return this.ownClient.revokeLease(lease);
 	}
 
+	@Override
+	public void addRestoreListener(Runnable listener) {
+		this.restoreListeners.add(listener);
+	}
+
 	@Override
 	public Watch watch(String prefix, long fromRevision, WatchListener listener) {
 		return this.ownClient.watch(prefix, fromRevision, listener);
@@ -367,6 +390,15 @@
 			});
 		}
 
+		@Override
+		public void addRestoreListener(Runnable listener) {
+			this.store.addRestoreListener(() -> {
+				if (!this.faults.isDown()) {
+					listener.run();
+				}
+			});
+		}
+
 		@Override
 		public Watch watch(String prefix, long fromRevision, WatchListener listener) {
 			return this.store.start(new RunningWatch(this, prefix, fromRevision, listener, this.store::forget));
--- a/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
+++ b/standins/src/main/java/org/masticshelf/standins/keyvalue/KeyValueState.java
@@ -195,6 +195,14 @@
 		ended.forEach(this::revokeLease);
 	}
 
+	/**
+	 * Skips revisions, as if those up to one had been given out.
+	 * @param upTo the revision
+	 */
+	void skipRevisions(long upTo) {
+		this.revision = Math.max(this.revision, upTo);
+	}
+
 	/**
 	 * Forgets the history up to a revision, so that no watch can start there.
 	 * @param upTo the last revision to forget
