A list of the store that fails is repeated within a second

A daemon whose watch breaks lists its keys again. If the store refused that one call, as it does around an outage, the next list came 30 s later: until then the daemon kept keys that were gone and missed what had been written before its new watch began.

The time of a list was recorded when it was sent. A failed one is now due again after a second. PrefixViewTests.failedListIsRepeatedWithinASecond failed before (the deleted key was still there).

--- a/control/src/main/java/org/masticshelf/control/view/PrefixView.java
+++ b/control/src/main/java/org/masticshelf/control/view/PrefixView.java
@@ -43,6 +43,9 @@
 
 	private static final long LIST_INTERVAL_MILLISECONDS = 5_000;
 
+	/** How soon a list that failed is repeated. */
+	private static final long LIST_RETRY_MILLISECONDS = 1_000;
+
 	private static final long PULL_INTERVAL_MILLISECONDS = 1_000;
 
 	private static final long LIST_BYTES_PER_MILLISECOND = 4;
@@ -204,7 +207,14 @@
 		}
 		return this.store.list(this.prefix)
 			.thenAccept((snapshot) -> replace(snapshot.entries(), snapshot.revision(), ZERO_MILLISECONDS_AGO))
-			.exceptionally((failure) -> null);
+			.exceptionally((failure) -> listAgainSoon());
+	}
+
+	private synchronized @Nullable Void listAgainSoon() {
+		long interval = Math.max(this.listIntervalMilliseconds, this.listedBytes / LIST_BYTES_PER_MILLISECOND);
+		this.listedAt = this.clock.nanoseconds()
+				- TimeUnit.MILLISECONDS.toNanos(interval - Math.min(interval, LIST_RETRY_MILLISECONDS));
+		return null;
 	}
 
 	private CompletableFuture<Void> pull() {
--- a/control/src/test/java/org/masticshelf/control/view/PrefixViewTests.java
+++ b/control/src/test/java/org/masticshelf/control/view/PrefixViewTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -73,4 +74,25 @@
 		Truth.assertThat(this.second.find(KEY)).isNull();
 	}
 
+	/**
+	 * The service refuses the list with which a broken watch begins again.
+	 */
+	@Test
+	void failedListIsRepeatedWithinASecond() {
+		PrefixView view = PrefixView.watching(this.store, this.clock, "prefix/", Duration.ofSeconds(30));
+		view.round();
+		write(new Operation.Put(KEY, "value", 0));
+		this.store.faults().setDown(true);
+		view.round();
+		this.store.faults().setDown(false);
+		write(new Operation.Delete(KEY));
+		this.clock.advance(Duration.ofSeconds(1));
+		view.round();
+		Truth.assertThat(view.entries()).isEmpty();
+	}
+
+	private void write(Operation operation) {
+		this.store.transact(new KeyValueStore.Transaction(List.of(), List.of(operation))).join();
+	}
+
 }
