An answer that names no request is not taken for one on a kept connection

A faulty endpoint that writes an earlier refusal once more, without the identifier, made the next request on that connection end with "not run, try again" although the endpoint ran it.

An answer without an identifier counted as the expected one on every connection. It does now on new connections only, where nothing precedes it; on a kept one the exchange is lost and the caller is told nothing about whether the request ran. A repeated refusal that names its request was skipped before. The case without an identifier failed first: 503 in place of 502.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -84,8 +84,8 @@
 	 */
 	ExchangeResult run(StreamRelay relay) {
 		ServedEndpoint endpoint = this.outbound.endpoint();
-		EndpointConnection connection = (this.choice == ConnectionChoice.POOLED) ? this.connections.takeIdle(endpoint)
-				: null;
+		EndpointConnection idle = (this.choice == ConnectionChoice.POOLED) ? this.connections.takeIdle(endpoint) : null;
+		EndpointConnection connection = idle;
 		if (connection == null) {
 			try {
 				connection = this.connections.open(endpoint, this.choice == ConnectionChoice.PROBING);
@@ -94,12 +94,13 @@
 				return new ExchangeResult.Unreached(String.valueOf(ex.getMessage()));
 			}
 		}
+		boolean reused = idle != null;
 		EndpointConnection current = connection;
 		this.caller.onGone(current::close);
 		int keepAliveSeconds = 0;
 		try {
 			connection.send(encodeHead(), this.outbound.request().body());
-			AnswerHead answer = readMatchingHead(connection);
+			AnswerHead answer = readMatchingHead(connection, reused);
 			keepAliveSeconds = answer.closing() ? 0 : answer.keepAliveSeconds();
 			return readAnswer(connection, answer, relay);
 		}
@@ -142,15 +143,19 @@
 		head.append(header.name()).append(": ").append(header.value()).append("\r\n");
 	}
 
-	// A late second answer to an earlier request may precede the expected answer.
-	private AnswerHead readMatchingHead(EndpointConnection connection) throws IOException {
+	// A late second answer to an earlier request may precede the expected answer. Only on
+	// a new connection does an answer that names no request belong to this one.
+	private AnswerHead readMatchingHead(EndpointConnection connection, boolean reused) throws IOException {
 		for (int skipped = 0; skipped < MAXIMUM_STALE_ANSWERS; skipped++) {
 			AnswerHead answer = connection.readHead(this.limits.firstByteMilliseconds());
 			AnswerMetadata metadata = this.protocol.answerMetadata(answer);
 			String identifier = metadata.requestIdentifier();
-			if (identifier == null || identifier.equals(this.outbound.request().identifier())) {
+			if ((identifier == null && !reused) || this.outbound.request().identifier().equals(identifier)) {
 				return answer;
 			}
+			if (identifier == null) {
+				throw new IOException("an answer that names no request");
+			}
 			readBody(connection);
 		}
 		throw new IOException("only answers to other requests");
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -63,6 +63,8 @@
 
 	private final EndpointDirectory directory = new EndpointDirectory(this.clock, this::log);
 
+	private final EndpointConnections connections = new EndpointConnections(this.clock);
+
 	private final SharedGrants grants = new SharedGrants(this.clock);
 
 	private final EndpointLimits limits = new EndpointLimits("self", this.clock, this::log, () -> {
@@ -88,6 +90,9 @@
 
 	private final RecordingCaller caller = new RecordingCaller();
 
+	/** The loads that all requests of a test share, {@code null} for new ones each. */
+	private @Nullable EndpointLoads sharedLoads;
+
 	private StopPhase phase = StopPhase.RUNNING;
 
 	private @Nullable ServedTables tables;
@@ -146,10 +151,11 @@
 	}
 
 	private void forward(ServedRequest request, RecordingCaller requestCaller) {
-		RequestContext context = new RequestContext(() -> this.tables, this.directory, new EndpointLoads(this.clock),
-				new EndpointConnections(this.clock), Protocol.INSTANCE, this.grants, this.waitingRequests,
-				this.unserved, this.rates, new RetryBudgets(), this.peerRegistry, this.limits, this.quarantine,
-				"domain", () -> this.phase, this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
+		EndpointLoads loads = (this.sharedLoads != null) ? this.sharedLoads : new EndpointLoads(this.clock);
+		RequestContext context = new RequestContext(() -> this.tables, this.directory, loads, this.connections,
+				Protocol.INSTANCE, this.grants, this.waitingRequests, this.unserved, this.rates, new RetryBudgets(),
+				this.peerRegistry, this.limits, this.quarantine, "domain", () -> this.phase, this.clock,
+				new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
 
@@ -290,6 +296,31 @@
 		Truth.assertThat(receivedRequests()).isEqualTo(receivedRequests);
 	}
 
+	/**
+	 * An endpoint writes an earlier refusal once more on a kept connection, before the
+	 * answer to the next request, which it runs.
+	 * @param repeated the repeated head
+	 * @param status the status for the caller of the second request
+	 */
+	@ParameterizedTest
+	@CsvSource({ "Id: r, 200", "Extra: 1, 502" })
+	void repeatedRefusalOnKeptConnectionDoesNotTellThatTheNextRequestDidNotRun(String repeated, int status)
+			throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		String refusal = "HTTP/1.1 503 Busy\r\n%s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+		ScriptedEndpoint endpoint = endpoint("a", refusal.formatted("Id: r\r\nKeep-Alive: timeout=5"),
+				refusal.formatted(repeated) + OK_ANSWER.replace("Id: r", "Id: next"));
+		list(endpoint.toEndpoint());
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(503);
+		RecordingCaller next = new RecordingCaller();
+		ServedRequest request = new ServedRequest("next", "POST", "/a/b?c", "host", null, 2_000, null, 10, 10, "",
+				List.of(), null, List.of(new Header("Id", "next")), new byte[0]);
+		forward(request, next);
+		Truth.assertThat(endpoint.connections()).isEqualTo(1);
+		Truth.assertThat(next.status()).isEqualTo(status);
+	}
+
 	@Test
 	void requestThatDidNotRunIsSentToAnotherEndpoint() throws IOException {
 		route(Execution.AT_MOST_ONCE, 2);
