Test of an error in the place of a resumed stream

Another operator saw the text of an error, or its head, in the middle of a stream that had broken off. Seven kinds of answers from the endpoint that should resume it are tried; the caller gets none of their bytes and the answer is aborted.

--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -321,6 +321,28 @@
 		Truth.assertThat(next.status()).isEqualTo(status);
 	}
 
+	/**
+	 * A stream has begun and broken off, and the endpoint that should resume it answers
+	 * something else.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "500 Failed", "503 Busy", "404 Unknown", "429 Later", "200 Fine", "421 Elsewhere",
+			"503 Busy\r\nNot-Run: 1" })
+	void errorInPlaceOfResumedStreamDoesNotReachTheCaller(String status) throws IOException {
+		route(Execution.RESUMABLE_STREAM, 2);
+		String begun = STREAM + chunk("id: 1\ndata: a\n\n") + ScriptedEndpoint.RESET;
+		String error = "HTTP/1.1 " + status
+				+ "\r\nId: r\r\nMark: m\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\nerror text";
+		ScriptedEndpoint first = endpoint("a", begun, error);
+		ScriptedEndpoint second = endpoint("b", begun, error);
+		list(first.toEndpoint(), second.toEndpoint());
+		send();
+		Truth.assertThat(first.heads().size() + second.heads().size()).isAtMost(2);
+		Truth.assertThat(this.caller.body()).doesNotContain("error text");
+		Truth.assertThat(this.caller.body()).doesNotContain("HTTP/1.1");
+		Truth.assertThat(this.caller.isAborted()).isTrue();
+	}
+
 	@Test
 	void requestThatDidNotRunIsSentToAnotherEndpoint() throws IOException {
 		route(Execution.AT_MOST_ONCE, 2);
