An endpoint that names a pause when it turns a request away gets none

The daemon sent the next request 100 ms later.

The pause is read in the adapter and kept with the endpoint's load until it ends or the endpoint restarts. A request that only such endpoints could serve waits for the end of the pause, or is refused at once with it as Retry-After if that is beyond the caller's patience. The test's first case failed before: the next request was sent, 200 in place of 503. That an endpoint is leaving is read besides; nothing decides by it yet.

--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
@@ -152,6 +152,14 @@
 		}
 	}
 
+	/**
+	 * Records that an endpoint has said that it is leaving. It gets no new request until
+	 * it restarts, whatever its description says.
+	 * @param endpoint the endpoint
+	 */
+	public void recordLeaving(ServedEndpoint endpoint) {
+	}
+
 	/**
 	 * Records that an endpoint refused a request because it lacks a model or adapter.
 	 * @param endpoint the endpoint
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
@@ -138,6 +138,26 @@
 				+ FULL_MILLISECONDS;
 	}
 
+	/**
+	 * Records that an endpoint wants no requests of this daemon for a time.
+	 * @param endpoint the endpoint
+	 * @param milliseconds how long
+	 */
+	public synchronized void recordPause(ServedEndpoint endpoint, long milliseconds) {
+		Load load = this.loads.computeIfAbsent(endpoint.identifier(), (key) -> new Load());
+		load.pausedUntil = Math.max(load.pausedUntil, this.clock.milliseconds() + milliseconds);
+	}
+
+	/**
+	 * Returns how long an endpoint still wants no requests of this daemon.
+	 * @param endpoint the endpoint
+	 * @return the time in milliseconds, 0 if it takes requests
+	 */
+	public synchronized long pauseMilliseconds(ServedEndpoint endpoint) {
+		Load load = this.loads.get(endpoint.identifier());
+		return (load != null) ? Math.max(0, load.pausedUntil - this.clock.milliseconds()) : 0;
+	}
+
 	/**
 	 * Discards the state of an endpoint that was removed or restarted.
 	 * @param endpoint the endpoint
@@ -151,6 +171,7 @@
 			load.consecutiveFailures = 0;
 			load.ejectedUntil = 0;
 			load.failedShare = 0;
+			load.pausedUntil = 0;
 		}
 	}
 
@@ -211,7 +232,8 @@
 		long now = this.clock.milliseconds();
 		double penalty = Math.max(0, load.failedShare - IGNORED_FAILED_SHARE) * PENALTY_REQUESTS_PER_FAILED_SHARE
 				+ (this.silentDomains.contains(endpoint.failureDomain()) ? SILENT_DOMAIN_PENALTY_REQUESTS : 0);
-		return new View(load.requests, elsewhere, load.tokens, now < load.ejectedUntil, now < load.fullUntil, penalty);
+		return new View(load.requests, elsewhere, load.tokens, now < load.ejectedUntil,
+				now < Math.max(load.fullUntil, load.pausedUntil), penalty);
 	}
 
 	/**
@@ -221,7 +243,8 @@
 	 * @param elsewhere the number of its peers' requests there
 	 * @param ownTokens the tokens of this daemon's requests there
 	 * @param ejected whether it is ejected
-	 * @param refusing whether it has recently refused a request for lack of capacity
+	 * @param refusing whether it has recently refused a request for lack of capacity, or
+	 * wants none for a time
 	 * @param penalty the load penalty in requests
 	 */
 	public record View(int own, int elsewhere, long ownTokens, boolean ejected, boolean refusing, double penalty) {
@@ -244,6 +267,8 @@
 
 		private long fullUntil;
 
+		private long pausedUntil;
+
 		private double failedShare;
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -70,16 +70,16 @@
 	}
 
 	/**
-	 * Returns when the first endpoint takes the request, if limits that endpoints state
-	 * are all that keeps it from being sent.
+	 * Returns when the first endpoint takes the request, if limits and pauses that
+	 * endpoints state are all that keeps it from being sent.
 	 * @param ahead the requests that wait here for the same
 	 * @return when it may be sent, {@code null} unless all endpoints that hold what it
-	 * needs state a limit
+	 * needs state a limit or a pause
 	 */
 	@Nullable Availability limitedAvailability(int ahead) {
 		Availability earliest = null;
 		for (ServedEndpoint endpoint : this.context.directory().holding(this.pool, this.loadable)) {
-			Availability availability = this.context.endpointLimits().availability(endpoint, ahead);
+			Availability availability = availability(endpoint, ahead);
 			if (availability.milliseconds() == 0) {
 				return null;
 			}
@@ -91,6 +91,12 @@
 		return earliest;
 	}
 
+	private Availability availability(ServedEndpoint endpoint, int ahead) {
+		Availability limited = this.context.endpointLimits().availability(endpoint, ahead);
+		long pause = this.context.loads().pauseMilliseconds(endpoint);
+		return (pause > limited.milliseconds()) ? new Availability(true, pause) : limited;
+	}
+
 	private boolean isFull(ServedEndpoint endpoint, EndpointLoads.View view) {
 		int requestCount = view.own() + view.elsewhere();
 		EngineProfile profile = this.engine;
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -167,6 +167,12 @@
 		if (metadata.requestIdentifier() != null && !metadata.otherEndpoint()) {
 			this.limits.recordRequestLimit(metadata.requestLimit());
 		}
+		if (metadata.leaving() && !metadata.otherEndpoint()) {
+			this.limits.recordLeaving();
+		}
+		if (metadata.pauseMilliseconds() > 0) {
+			this.limits.recordPause(metadata.pauseMilliseconds());
+		}
 		if (metadata.notRun()) {
 			readBody(connection);
 			return new ExchangeResult.NotRun(answer.status(), metadata.otherEndpoint());
@@ -271,7 +277,10 @@
 
 	}
 
-	/** Timeouts of an exchange, queried before each wait. */
+	/**
+	 * Timeouts of an exchange, queried before each wait, and what the endpoint states of
+	 * itself in its answer.
+	 */
 	interface Limits {
 
 		/**
@@ -293,6 +302,15 @@
 		 */
 		void recordRequestLimit(@Nullable Double requestsPerSecond);
 
+		/** Records that the endpoint is leaving. */
+		void recordLeaving();
+
+		/**
+		 * Records that the endpoint wants no requests for a time.
+		 * @param milliseconds how long
+		 */
+		void recordPause(long milliseconds);
+
 		/**
 		 * Records that the head of a stream has arrived. Bytes that complete neither a
 		 * head nor an event do not extend a timeout.
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -514,6 +514,19 @@
 			Forwarding.this.context.endpointLimits().learn(this.endpoint, requestsPerSecond);
 		}
 
+		@Override
+		public void recordLeaving() {
+			Forwarding.this.context.directory().recordLeaving(this.endpoint);
+		}
+
+		@Override
+		public void recordPause(long milliseconds) {
+			Forwarding.this.context.log()
+				.accept(event("endpoint.paused").with("endpoint", this.endpoint.identifier())
+					.with("for_ms", milliseconds));
+			Forwarding.this.context.loads().recordPause(this.endpoint, milliseconds);
+		}
+
 		@Override
 		public void recordHead() {
 			this.progressAt = elapsed();
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
@@ -54,9 +54,12 @@
 	 * @param genuine whether the answer carries the marker of the endpoint itself
 	 * @param requestLimit the requests a second that the endpoint takes from all daemons
 	 * together, {@code null} if it states no limit
+	 * @param leaving whether the endpoint states that it is leaving
+	 * @param pauseMilliseconds how long the endpoint wants no requests of this daemon, 0
+	 * if it does not say so
 	 */
 	record AnswerMetadata(@Nullable String requestIdentifier, boolean notRun, boolean otherEndpoint, boolean genuine,
-			@Nullable Double requestLimit) {
+			@Nullable Double requestLimit, boolean leaving, long pauseMilliseconds) {
 	}
 
 }
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -579,6 +579,31 @@
 	/**
 	 * Guards against endpoints in need getting more requests than they ask for (LIMIT).
 	 */
+	/**
+	 * An endpoint that turns a request away names a time for which it wants none.
+	 * @param pause the time in milliseconds
+	 * @param status the status for the caller of the next request
+	 * @param arrived the requests that have reached the endpoint then
+	 */
+	@ParameterizedTest
+	@CsvSource({ "60000, 503, 1", "300, 200, 2" })
+	void endpointThatWantsNoRequestsForAWhileGetsNone(long pause, int status, int arrived) throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		this.sharedLoads = new EndpointLoads(this.clock);
+		ScriptedEndpoint endpoint = endpoint("a",
+				"HTTP/1.1 503 Busy\r\nId: r\r\nNot-Run: 1\r\nPause: " + pause + "\r\nContent-Length: 0\r\n\r\n",
+				OK_ANSWER, OK_ANSWER);
+		list(endpoint.toEndpoint());
+		send();
+		RecordingCaller next = new RecordingCaller();
+		forward(request(null, null, List.of()), next);
+		Truth.assertThat(next.status()).isEqualTo(status);
+		Truth.assertThat(endpoint.heads()).hasSize(arrived);
+		if (status != 200) {
+			Truth.assertThat(Double.parseDouble(next.header("Retry-After"))).isGreaterThan(50.0);
+		}
+	}
+
 	@Test
 	void endpointThatNamesLimitGetsNoMoreRequestsThanThat() throws IOException {
 		String limited = OK_ANSWER.replace("Mark: e", "Mark: e\r\nLimit: 1");
@@ -684,8 +709,10 @@
 		public AnswerMetadata answerMetadata(AnswerHead head) {
 			boolean other = head.status() == 421;
 			String limit = head.header("Limit");
+			String pause = head.header("Pause");
 			return new AnswerMetadata(head.header("Id"), other || head.header("Not-Run") != null, other,
-					head.header("Mark") != null, (limit != null) ? Double.valueOf(limit) : null);
+					head.header("Mark") != null, (limit != null) ? Double.valueOf(limit) : null,
+					head.header("Leaving") != null, (pause != null) ? Long.parseLong(pause) : 0);
 		}
 
 	}
