An endpoint that says it leaves gets no new request from that daemon

Only the endpoint's entry in the store was read, so a daemon that the store turned away went on sending.

An answer of any status that belongs to the request and carries the header now marks the endpoint's run as leaving until it restarts, as its entry does, at this daemon. The test failed before: the endpoint that had said so with 200, 404 and 500 got further requests. It is held against the run, so that an older entry from a restored store changes nothing.

--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
@@ -158,6 +158,16 @@
 	 * @param endpoint the endpoint
 	 */
 	public void recordLeaving(ServedEndpoint endpoint) {
+		synchronized (this) {
+			if (isLeaving(endpoint)) {
+				return;
+			}
+			this.leavingStartTimes.merge(endpoint.identifier(), endpoint.startedAt(), Math::max);
+		}
+		this.log.accept(Event.named("endpoint.said_it_leaves")
+			.with("endpoint", endpoint.identifier())
+			.with("started_at", endpoint.startedAt()));
+		this.listeners.forEach(Runnable::run);
 	}
 
 	/**
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -579,6 +579,28 @@
 	/**
 	 * Guards against endpoints in need getting more requests than they ask for (LIMIT).
 	 */
+	/**
+	 * An endpoint says that it leaves in an answer of any kind.
+	 * @param answer the status line of the answer and its headers
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "200 OK", "500 Failed", "404 Unknown", "503 Busy\r\nNot-Run: 1" })
+	void endpointThatSaysItLeavesGetsNoFurtherRequest(String answer) throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		ScriptedEndpoint leaving = endpoint("a",
+				"HTTP/1.1 " + answer + "\r\nId: r\r\nMark: e\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", OK_ANSWER,
+				OK_ANSWER);
+		list(leaving.toEndpoint());
+		send();
+		ScriptedEndpoint staying = endpoint("b", OK_ANSWER, OK_ANSWER);
+		list(leaving.toEndpoint(), staying.toEndpoint());
+		for (int request = 0; request < 2; request++) {
+			forward(request(null, null, List.of()), new RecordingCaller());
+		}
+		Truth.assertThat(leaving.heads()).hasSize(1);
+		Truth.assertThat(staying.heads()).hasSize(2);
+	}
+
 	/**
 	 * An endpoint that turns a request away names a time for which it wants none.
 	 * @param pause the time in milliseconds
