A planned stop knows how much time is left, and logs it with each request

The phases and their times move from the daemon into PlannedStop, with the clock injected. request.admitted names the tokens of prompt and output, and with request.sent the time that a planned stop leaves. Nothing is decided by it yet.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -35,6 +35,7 @@
 import org.masticshelf.serving.quarantine.PromptQuarantine;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.request.ModelRates;
+import org.masticshelf.serving.request.PlannedStop;
 import org.masticshelf.serving.request.RequestContext;
 import org.masticshelf.serving.request.RequestForwarder;
 import org.masticshelf.serving.request.RetryBudgets;
@@ -68,17 +69,8 @@
 
 	private static final long DEFAULT_BODY_BYTES = 4L * 1024 * 1024;
 
-	/**
-	 * The platform needs two failed probes, one per second, before callers stop sending
-	 * requests.
-	 */
-	private static final long PROBE_FAILURE_MILLISECONDS = 2_700;
-
-	/** The time reserved for releasing the lease at the end of a stop. */
-	private static final long LEASE_RELEASE_MILLISECONDS = 700;
-
-	/** How long before the end of a stop waiting requests are refused. */
-	private static final long ENDING_MILLISECONDS = 1_500;
+	/** The time limit for releasing the lease at the end of a stop. */
+	private static final long LEASE_RELEASE_MILLISECONDS = 350;
 
 	private static final long POLL_MILLISECONDS = 50;
 
@@ -111,6 +103,8 @@
 
 	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::findingsChanged);
 
+	private final PlannedStop plannedStop;
+
 	private final EndpointLimits endpointLimits;
 
 	private final DaemonLease lease;
@@ -135,8 +129,6 @@
 
 	private volatile @Nullable ServedTables tables;
 
-	private volatile StopPhase stopPhase = StopPhase.RUNNING;
-
 	private ServingDaemon(ServingSettings settings, ServingPorts ports) {
 		this.settings = settings;
 		this.ports = ports;
@@ -153,6 +145,7 @@
 		this.dutyView = PrefixView.watching(ports.store(), this.clock, LeasedDuties.PREFIX, LISTING_INTERVAL);
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
+		this.plannedStop = new PlannedStop(this.clock, settings.stopMilliseconds());
 		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged);
 		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
@@ -168,7 +161,7 @@
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.unserved, this.rates,
 				new RetryBudgets(), this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(),
-				() -> this.stopPhase, this.clock, new ServingMetrics(this.metrics), EventLog::info));
+				this.plannedStop, this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
@@ -235,7 +228,7 @@
 	}
 
 	private boolean isReady() {
-		return this.stopPhase == StopPhase.RUNNING && this.tables != null && !this.directory.isEmpty();
+		return this.plannedStop.phase() == StopPhase.RUNNING && this.tables != null && !this.directory.isEmpty();
 	}
 
 	private long bodyLimit() {
@@ -296,32 +289,31 @@
 	 * sending requests and running ones have ended, and releases the lease.
 	 */
 	public void drain() {
-		long begunAt = this.clock.milliseconds();
+		this.plannedStop.begin();
 		enterPhase(StopPhase.LEAVING);
 		this.placement.stop();
 		// Pending orders end before the settling time of the next holder has passed.
 		this.duties.handOver();
-		awaitUntil(begunAt + PROBE_FAILURE_MILLISECONDS, false);
+		awaitEndOf(StopPhase.LEAVING, false);
 		enterPhase(StopPhase.REFUSING);
-		long endAt = begunAt + this.settings.stopMilliseconds() - LEASE_RELEASE_MILLISECONDS;
-		awaitUntil(endAt - ENDING_MILLISECONDS, true);
+		awaitEndOf(StopPhase.REFUSING, true);
 		enterPhase(StopPhase.ENDING);
-		awaitUntil(endAt, true);
-		this.lease.release().completeOnTimeout(null, LEASE_RELEASE_MILLISECONDS / 2, TimeUnit.MILLISECONDS).join();
+		awaitEndOf(StopPhase.ENDING, true);
+		this.lease.release().completeOnTimeout(null, LEASE_RELEASE_MILLISECONDS, TimeUnit.MILLISECONDS).join();
 		EventLog.info(Event.named("daemon.stopped")
 			.with("cut_requests", this.forwarder.activeRequests())
-			.with("took_ms", this.clock.milliseconds() - begunAt));
+			.with("took_ms", this.plannedStop.elapsedMilliseconds()));
 	}
 
 	private void enterPhase(StopPhase phase) {
-		this.stopPhase = phase;
+		this.plannedStop.enter(phase);
 		EventLog
 			.info(Event.named("daemon.stopping").with("phase", phase).with("active", this.forwarder.activeRequests()));
 		this.waitingRequests.signal();
 	}
 
-	private void awaitUntil(long time, boolean untilIdle) {
-		while (this.clock.milliseconds() < time && !(untilIdle && this.forwarder.activeRequests() == 0)) {
+	private void awaitEndOf(StopPhase phase, boolean untilIdle) {
+		while (!this.plannedStop.isOver(phase) && !(untilIdle && this.forwarder.activeRequests() == 0)) {
 			pause();
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -112,7 +112,10 @@
 				.with("organisation", organisationName)
 				.with("pool", pool.name())
 				.with("loadable", loadable)
-				.with("cost", (long) cost));
+				.with("cost", (long) cost)
+				.with("prompt_tokens", this.request.promptTokens())
+				.with("output_tokens", this.request.outputTokens())
+				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds()));
 		return new Admitted(route, organisation, pool, cost);
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -106,7 +106,7 @@
 	/** Serves or refuses the request. */
 	void run() {
 		this.caller.onGone(this.context.waitingRequests()::signal);
-		StopPhase phase = this.context.stopPhase().get();
+		StopPhase phase = this.context.plannedStop().phase();
 		if (phase != StopPhase.RUNNING) {
 			this.caller.closeAfterAnswer();
 		}
@@ -160,7 +160,7 @@
 					return null;
 				}
 				long seenChanges = this.context.waitingRequests().changeCount();
-				if (this.context.stopPhase().get() == StopPhase.ENDING) {
+				if (this.context.plannedStop().phase() == StopPhase.ENDING) {
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
@@ -232,6 +232,7 @@
 				.with("sending", this.sends)
 				.with("waited_ms", elapsed())
 				.with("left_ms", remaining())
+				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds())
 				.with("requests_there", this.context.loads().view(endpoint).own())
 				.with("resume_after", this.relay.lastIdentifier()));
 		this.context.metrics().recordSend(pool());
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -34,7 +34,7 @@
  * @param endpointLimits the limits that endpoints state
  * @param quarantine the segments of prompts that crash endpoints
  * @param failureDomain the failure domain of this daemon
- * @param stopPhase returns the current phase of a planned stop
+ * @param plannedStop the planned stop of this daemon
  * @param clock the clock
  * @param metrics the request metrics
  * @param log receives the events
@@ -43,5 +43,5 @@
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates, RetryBudgets retries,
 		PeerRegistry peers, EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain,
-		Supplier<StopPhase> stopPhase, MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
+		PlannedStop plannedStop, MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
 }
