The end of a planned stop answers the callers that have no answer yet

What callers saw: a request whose endpoint was still at work at the end of a planned stop ended with its channel and no answer. Cause: the process ended with the threads that waited for endpoints. Now requests are given up 200 ms before the process ends: their exchanges are closed, without counting as failures of their endpoints, and a caller whose answer has not begun gets 504, which says that it may have run; a stream that has begun is broken off. Two more changes use more of the grace (answers until 7.5 of 8 s, 7.3 s before): the lease is released when nothing is admitted or waits any more, beside the last answers, so that no time is reserved for it, and 300 ms remain for what delays the process. daemon.stopped names given_up_requests beside cut_requests. Evidence: endOfStopAnswersCallersWithoutAnswer fails in its four cases if the exchanges are not ended.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -71,7 +72,7 @@
 	private static final long DEFAULT_BODY_BYTES = 4L * 1024 * 1024;
 
 	/** The time limit for releasing the lease at the end of a stop. */
-	private static final long LEASE_RELEASE_MILLISECONDS = 350;
+	private static final long LEASE_RELEASE_MILLISECONDS = 150;
 
 	private static final long POLL_MILLISECONDS = 50;
 
@@ -299,10 +300,17 @@
 		enterPhase(StopPhase.REFUSING);
 		awaitEndOf(StopPhase.REFUSING, true);
 		enterPhase(StopPhase.ENDING);
+		// No request is admitted or waits any more, so that peers may take over the
+		// grants.
+		CompletableFuture<Void> released = this.lease.release();
 		awaitEndOf(StopPhase.ENDING, true);
-		this.lease.release().completeOnTimeout(null, LEASE_RELEASE_MILLISECONDS, TimeUnit.MILLISECONDS).join();
+		int givenUp = this.forwarder.activeRequests();
+		enterPhase(StopPhase.GIVING_UP);
+		awaitEndOf(StopPhase.GIVING_UP, true);
+		released.completeOnTimeout(null, LEASE_RELEASE_MILLISECONDS, TimeUnit.MILLISECONDS).join();
 		EventLog.info(Event.named("daemon.stopped")
 			.with("cut_requests", this.forwarder.activeRequests())
+			.with("given_up_requests", givenUp)
 			.with("took_ms", this.plannedStop.elapsedMilliseconds()));
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -58,6 +58,8 @@
 
 	private final ConnectionChoice choice;
 
+	private final PlannedStop plannedStop;
+
 	/**
 	 * Creates an exchange.
 	 * @param connections the pool of idle connections
@@ -66,9 +68,11 @@
 	 * @param limits the timeouts
 	 * @param caller the caller; the exchange ends when it disconnects
 	 * @param choice which connection to use
+	 * @param plannedStop ends the exchange when requests are given up
 	 */
 	EndpointExchange(EndpointConnections connections, EndpointProtocol protocol, OutboundRequest outbound,
-			Limits limits, CallerChannel caller, ConnectionChoice choice) {
+			Limits limits, CallerChannel caller, ConnectionChoice choice, PlannedStop plannedStop) {
+		this.plannedStop = plannedStop;
 		this.choice = choice;
 		this.connections = connections;
 		this.protocol = protocol;
@@ -96,7 +100,9 @@
 		}
 		boolean reused = idle != null;
 		EndpointConnection current = connection;
-		this.caller.onGone(current::close);
+		Runnable end = current::close;
+		this.caller.onGone(end);
+		this.plannedStop.addExchange(end);
 		int keepAliveSeconds = 0;
 		try {
 			connection.send(encodeHead(), this.outbound.request().body());
@@ -113,6 +119,7 @@
 			return new ExchangeResult.Lost(String.valueOf(ex.getMessage()), kindOf(ex));
 		}
 		finally {
+			this.plannedStop.removeExchange(end);
 			this.connections.release(endpoint, connection, keepAliveSeconds);
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -149,12 +149,21 @@
 				finish("caller_gone", 0);
 				return;
 			}
+			if (result instanceof ExchangeResult.Lost lost && isGivenUp(lost)) {
+				this.mayHaveRun = true;
+				giveUpAfterFailure(false);
+				return;
+			}
 			if (!handleResult(endpoint, result)) {
 				return;
 			}
 		}
 	}
 
+	private boolean isGivenUp(ExchangeResult.Lost lost) {
+		return !lost.timedOut() && this.context.plannedStop().phase() == StopPhase.GIVING_UP;
+	}
+
 	private @Nullable ServedEndpoint awaitEndpoint() {
 		WaitingRequests.Entry entry = null;
 		ReadinessEstimate estimate = ReadinessEstimate.NONE;
@@ -167,7 +176,7 @@
 					return null;
 				}
 				long seenChanges = this.context.waitingRequests().changeCount();
-				if (this.context.plannedStop().phase() == StopPhase.ENDING) {
+				if (this.context.plannedStop().phase().compareTo(StopPhase.ENDING) >= 0) {
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
@@ -289,7 +298,8 @@
 		this.context.loads().recordStart(endpoint, loadable(), tokens());
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint))
+					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint),
+					this.context.plannedStop())
 				.run(this.relay);
 		}
 		finally {
--- a/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
@@ -1,5 +1,8 @@
 package org.masticshelf.serving.request;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
 import org.masticshelf.kernel.time.MonotonicClock;
 
 /**
@@ -16,8 +19,11 @@
 	 */
 	private static final long PROBE_FAILURE_MILLISECONDS = 2_700;
 
-	/** The time reserved for releasing the lease at the end of a stop. */
-	private static final long RESERVED_MILLISECONDS = 700;
+	/** How long before its limit a stop ends, for what delays the process. */
+	private static final long RESERVED_MILLISECONDS = 300;
+
+	/** The time in which callers are told that their requests were given up. */
+	private static final long GIVING_UP_MILLISECONDS = 200;
 
 	/** How long before the last answers waiting requests are refused. */
 	private static final long ENDING_MILLISECONDS = 1_500;
@@ -28,6 +34,8 @@
 
 	private final long limitMilliseconds;
 
+	private final Set<Runnable> exchanges = ConcurrentHashMap.newKeySet();
+
 	private volatile long begunAt = NOT_BEGUN;
 
 	private volatile StopPhase phase = StopPhase.RUNNING;
@@ -54,6 +62,30 @@
 	 */
 	public void enter(StopPhase next) {
 		this.phase = next;
+		if (next == StopPhase.GIVING_UP) {
+			this.exchanges.forEach(Runnable::run);
+		}
+	}
+
+	/**
+	 * Registers an exchange that is ended when requests are given up. It has to be
+	 * removed when it has ended by itself.
+	 * @param end ends the exchange; called at once if requests are being given up, and
+	 * possibly twice
+	 */
+	void addExchange(Runnable end) {
+		this.exchanges.add(end);
+		if (this.phase == StopPhase.GIVING_UP) {
+			end.run();
+		}
+	}
+
+	/**
+	 * Removes an exchange that has ended.
+	 * @param end the action that was registered
+	 */
+	void removeExchange(Runnable end) {
+		this.exchanges.remove(end);
 	}
 
 	/**
@@ -74,12 +106,13 @@
 	}
 
 	private long endOf(StopPhase asked) {
-		long answersUntil = this.limitMilliseconds - RESERVED_MILLISECONDS;
+		long answersUntil = this.limitMilliseconds - RESERVED_MILLISECONDS - GIVING_UP_MILLISECONDS;
 		return switch (asked) {
 			case RUNNING -> 0;
 			case LEAVING -> PROBE_FAILURE_MILLISECONDS;
 			case REFUSING -> answersUntil - ENDING_MILLISECONDS;
 			case ENDING -> answersUntil;
+			case GIVING_UP -> answersUntil + GIVING_UP_MILLISECONDS;
 		};
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/StopPhase.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/StopPhase.java
@@ -15,6 +15,12 @@
 	REFUSING,
 
 	/** Waiting requests are refused too; only those already sent are served. */
-	ENDING
+	ENDING,
+
+	/**
+	 * What endpoints still work on is given up, and callers without an answer are told
+	 * that it may have run.
+	 */
+	GIVING_UP
 
 }
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -767,6 +767,30 @@
 		Truth.assertThat(this.caller.status()).isEqualTo(500);
 	}
 
+	// At the end of a planned stop callers were cut without an answer (issue 31).
+	@ParameterizedTest
+	@CsvSource({ "AT_MOST_ONCE, '', 504, false", "REPEATABLE, '', 504, false", "RESUMABLE_STREAM, '', 504, false",
+			"STREAM, 'id: 1\n\n', 200, true" })
+	@Timeout(ENDLESS_TIMEOUT_SECONDS)
+	void endOfStopAnswersCallersWithoutAnswer(Execution execution, String begun, int status, boolean aborted)
+			throws IOException {
+		route(execution, 2);
+		ScriptedEndpoint endpoint = endpoint("a", begun.isEmpty() ? "" : STREAM + chunk(begun));
+		list(endpoint.toEndpoint());
+		this.plannedStop.begin();
+		Thread.startVirtualThread(() -> {
+			while (endpoint.heads().isEmpty() || !this.caller.body().equals(begun)) {
+				Thread.onSpinWait();
+			}
+			this.plannedStop.enter(StopPhase.GIVING_UP);
+		});
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(status);
+		Truth.assertThat(this.caller.isAborted()).isEqualTo(aborted);
+		Truth.assertThat(this.events.stream().map(Event::name).toList())
+			.containsNoneOf("request.exchange_failed", "request.exchange_silent");
+	}
+
 	@Test
 	void sendsNothingForDisconnectedCaller() throws IOException {
 		route(Execution.REPEATABLE, 1);
