A planned stop ends only when the last answers are written

Cause: a request counted as ended when its answer was queued for the connection's I/O thread, so that a process that halts when no request is active could halt before the answer was out; the refusals that the end of a stop writes make that likelier. Now the listener counts a request from its last byte until its answer is written or its caller has gone, and a stop waits for that, once more after the lease was released. Evidence: the new test of ServingListenerTests has an answer of 32 MiB that is queued completely and counted until it is read.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -129,6 +129,8 @@
 
 	private final PeerExchange peerExchange;
 
+	private volatile @Nullable ServingListener listener;
+
 	private volatile @Nullable ServedTables tables;
 
 	private ServingDaemon(ServingSettings settings, ServingPorts ports) {
@@ -190,8 +192,9 @@
 	}
 
 	private void startComponents() {
-		ServingListener.start(new ServingListener.Settings(this.settings.callers(), this.settings.probes(),
-				this::isReady, this.metrics, this::bodyLimit), this.ports.requests(), this.forwarder);
+		this.listener = ServingListener.start(new ServingListener.Settings(this.settings.callers(),
+				this.settings.probes(), this::isReady, this.metrics, this::bodyLimit), this.ports.requests(),
+				this.forwarder);
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
@@ -308,6 +311,8 @@
 		enterPhase(StopPhase.GIVING_UP);
 		awaitEndOf(StopPhase.GIVING_UP, true);
 		released.completeOnTimeout(null, LEASE_RELEASE_MILLISECONDS, TimeUnit.MILLISECONDS).join();
+		// Requests that were read in the meantime are refused and answered, too.
+		awaitEndOf(StopPhase.GIVING_UP, true);
 		EventLog.info(Event.named("daemon.stopped")
 			.with("cut_requests", this.forwarder.activeRequests())
 			.with("given_up_requests", givenUp)
@@ -322,11 +327,16 @@
 	}
 
 	private void awaitEndOf(StopPhase phase, boolean untilIdle) {
-		while (!this.plannedStop.isOver(phase) && !(untilIdle && this.forwarder.activeRequests() == 0)) {
+		while (!this.plannedStop.isOver(phase) && !(untilIdle && isIdle())) {
 			pause();
 		}
 	}
 
+	private boolean isIdle() {
+		ServingListener current = this.listener;
+		return this.forwarder.activeRequests() == 0 && (current == null || current.unansweredRequests() == 0);
+	}
+
 	private static void pause() {
 		try {
 			TimeUnit.MILLISECONDS.sleep(POLL_MILLISECONDS);
--- a/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
@@ -7,6 +7,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -58,6 +60,8 @@
 
 	private final RequestHandler handler;
 
+	private final Set<HttpServerExchange> unanswered = ConcurrentHashMap.newKeySet();
+
 	private final Undertow server;
 
 	private ServingListener(Settings settings, RequestCodec codec, RequestHandler handler) {
@@ -175,11 +179,32 @@
 				exchange.getRequestURI() + query, headers, body));
 		switch (decoded) {
 			case Decoded.Malformed malformed -> refuse(exchange, STATUS_BAD_REQUEST);
-			case Decoded.Valid valid -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> this.handler
-				.handle(valid.request(), new UndertowCallerChannel(exchange), arrivedNanoseconds));
+			case Decoded.Valid valid -> {
+				countUntilAnswered(exchange);
+				exchange.dispatch(SameThreadExecutor.INSTANCE, () -> this.handler.handle(valid.request(),
+						new UndertowCallerChannel(exchange), arrivedNanoseconds));
+			}
 		}
 	}
 
+	private void countUntilAnswered(HttpServerExchange exchange) {
+		this.unanswered.add(exchange);
+		exchange.addExchangeCompleteListener((completed, next) -> {
+			this.unanswered.remove(completed);
+			next.proceed();
+		});
+		exchange.getConnection().addCloseListener((connection) -> this.unanswered.remove(exchange));
+	}
+
+	/**
+	 * Returns the number of requests that were read and whose answers have not been
+	 * written completely.
+	 * @return the number, without those whose caller has disconnected
+	 */
+	public int unansweredRequests() {
+		return this.unanswered.size();
+	}
+
 	@Override
 	public void close() {
 		this.server.stop();
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -30,6 +30,9 @@
 
 	private static final long TIMEOUT_SECONDS = 20;
 
+	/** More than the buffers of a connection hold. */
+	private static final int UNBUFFERED_BYTES = 32 * 1024 * 1024;
+
 	private static final String HOST = "127.0.0.1";
 
 	private final BlockingQueue<ReceivedRequest> receivedRequests = new ArrayBlockingQueue<>(16);
@@ -112,6 +115,29 @@
 		return read.toString(StandardCharsets.ISO_8859_1);
 	}
 
+	// A process that ended when no request was active cut answers that were being written
+	// (issue 31).
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	@Timeout(TIMEOUT_SECONDS)
+	void countsRequestUntilItsAnswerIsWrittenOrItsCallerGone(boolean read) throws Exception {
+		byte[] body = new byte[UNBUFFERED_BYTES];
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+			CallerChannel caller = takeRequest().caller();
+			caller.begin(200, List.of(), body.length);
+			caller.write(body);
+			caller.end();
+			Truth.assertThat(this.listener.unansweredRequests()).isEqualTo(1);
+			if (read) {
+				readUntil(socket, "\r\n\r\n");
+				Truth.assertThat(socket.getInputStream().readNBytes(body.length)).hasLength(body.length);
+			}
+		}
+		while (this.listener.unansweredRequests() > 0) {
+			Thread.onSpinWait();
+		}
+	}
+
 	@Test
 	void abortedStreamDoesNotLookComplete() throws Exception {
 		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
