--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.masticshelf.kernel.admission.ReadinessEstimate;
+import org.masticshelf.kernel.admission.StopDecision;
 import org.masticshelf.kernel.admission.WaitDecision;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -92,6 +93,12 @@
 	 */
 	private long answeringSince = -1;
 
+	/** When the request was last sent, in milliseconds since it arrived. */
+	private long sentAt;
+
+	/** Whether the current endpoint goes on with a stream that another one began. */
+	private boolean resumed;
+
 	/** Whether an endpoint has answered this request for some time without a crash. */
 	private boolean harmless;
 
@@ -106,7 +113,7 @@
 	/** Serves or refuses the request. */
 	void run() {
 		this.caller.onGone(this.context.waitingRequests()::signal);
-		StopPhase phase = this.context.stopPhase().get();
+		StopPhase phase = this.context.plannedStop().phase();
 		if (phase != StopPhase.RUNNING) {
 			this.caller.closeAfterAnswer();
 		}
@@ -142,12 +149,21 @@
 				finish("caller_gone", 0);
 				return;
 			}
+			if (result instanceof ExchangeResult.Lost lost && isGivenUp(lost)) {
+				this.mayHaveRun = true;
+				giveUpAfterFailure(false);
+				return;
+			}
 			if (!handleResult(endpoint, result)) {
 				return;
 			}
 		}
 	}
 
+	private boolean isGivenUp(ExchangeResult.Lost lost) {
+		return !lost.timedOut() && this.context.plannedStop().phase() == StopPhase.GIVING_UP;
+	}
+
 	private @Nullable ServedEndpoint awaitEndpoint() {
 		WaitingRequests.Entry entry = null;
 		ReadinessEstimate estimate = ReadinessEstimate.NONE;
@@ -160,7 +176,7 @@
 					return null;
 				}
 				long seenChanges = this.context.waitingRequests().changeCount();
-				if (this.context.stopPhase().get() == StopPhase.ENDING) {
+				if (this.context.plannedStop().phase().compareTo(StopPhase.ENDING) >= 0) {
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
@@ -168,7 +184,7 @@
 						admitted().pool().engine());
 				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
 				if (endpoint != null) {
-					return endpoint;
+					return refuseIfStopping(endpoint, 0) ? null : endpoint;
 				}
 				estimate = estimate.learn(elapsed(), readyIn());
 				long readyInMilliseconds = estimate.readyIn(elapsed());
@@ -181,6 +197,9 @@
 					}
 					readyInMilliseconds = limited.milliseconds();
 				}
+				if (refuseIfStopping(null, readyInMilliseconds)) {
+					return null;
+				}
 				WaitDecision decision = WaitDecision.decide(elapsed(), firstEventLimit(), readyInMilliseconds,
 						ANSWER_START_MILLISECONDS);
 				switch (decision) {
@@ -209,6 +228,41 @@
 		}
 	}
 
+	private boolean refuseIfStopping(@Nullable ServedEndpoint endpoint, long waitMilliseconds) {
+		if (!(decideOnStop(endpoint, waitMilliseconds) instanceof StopDecision.Refuse refuse)) {
+			return false;
+		}
+		this.context.log()
+			.accept(event("request.too_late_for_stop").with("wait_ms", waitMilliseconds)
+				.with("missing_ms", refuse.missingMilliseconds())
+				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds()));
+		if (this.mayHaveRun || this.relay.isStarted()) {
+			giveUpAfterFailure(true);
+			return true;
+		}
+		refundIfNotRun();
+		refuse(SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE_MILLISECONDS);
+		return true;
+	}
+
+	private StopDecision decideOnStop(@Nullable ServedEndpoint endpoint, long waitMilliseconds) {
+		long service = this.context.serviceTimes()
+			.estimate(pool(), loadable(), this.request.outputTokens(), endpoint, remaining());
+		return StopDecision.decide(waitMilliseconds, service, this.context.plannedStop().leftMilliseconds());
+	}
+
+	private boolean endsBeforeStop() {
+		return decideOnStop(null, 0) instanceof StopDecision.Serve;
+	}
+
+	private void recordServiceTime(ServedEndpoint endpoint) {
+		if (!this.resumed) {
+			long whole = elapsed() - this.sentAt;
+			long start = (this.answeringSince < 0) ? whole : this.answeringSince - this.sentAt;
+			this.context.serviceTimes().record(endpoint, loadable(), this.request.outputTokens(), start, whole);
+		}
+	}
+
 	private @Nullable LoadableName loadable() {
 		return (admitted().pool().engine() != null) ? this.request.loadable() : null;
 	}
@@ -226,12 +280,15 @@
 		ServedOrganisation payer = admitted().organisation();
 		ServedRoute route = route();
 		this.sends++;
+		this.sentAt = elapsed();
+		this.resumed = this.relay.lastIdentifier() != null;
 		this.answeringSince = -1;
 		this.context.log()
 			.accept(event("request.sent").with("endpoint", endpoint.identifier())
 				.with("sending", this.sends)
 				.with("waited_ms", elapsed())
 				.with("left_ms", remaining())
+				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds())
 				.with("requests_there", this.context.loads().view(endpoint).own())
 				.with("resume_after", this.relay.lastIdentifier()));
 		this.context.metrics().recordSend(pool());
@@ -241,7 +298,8 @@
 		this.context.loads().recordStart(endpoint, loadable(), tokens());
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint))
+					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint),
+					this.context.plannedStop())
 				.run(this.relay);
 		}
 		finally {
@@ -266,6 +324,7 @@
 	private boolean handleResult(ServedEndpoint endpoint, ExchangeResult result) {
 		return switch (result) {
 			case ExchangeResult.Streamed streamed -> {
+				recordServiceTime(endpoint);
 				recordHarmless();
 				recordServed();
 				this.context.loads().recordAnswer(endpoint, true);
@@ -285,6 +344,7 @@
 	private boolean handleAnswer(ServedEndpoint endpoint, ExchangeResult.Answered answered) {
 		boolean failed = answered.status() >= 500;
 		if (!failed) {
+			recordServiceTime(endpoint);
 			recordHarmless();
 			recordServed();
 		}
@@ -370,7 +430,7 @@
 	}
 
 	private boolean mayRetry() {
-		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts()
+		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts() && endsBeforeStop()
 				&& (this.harmless || examinePrompt() instanceof Finding.Clear);
 	}
 
@@ -570,7 +630,8 @@
 		}
 
 		private boolean canTryAnother() {
-			return route().execution().isRepeatable() && Forwarding.this.attempts + 1 < route().maximumAttempts()
+			return route().execution().isRepeatable() && endsBeforeStop()
+					&& Forwarding.this.attempts + 1 < route().maximumAttempts()
 					&& Forwarding.this.context.directory().holding(pool(), loadable()).size() > 1;
 		}
 
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.truth.Truth;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -93,12 +94,25 @@
 	/** The loads that all requests of a test share, {@code null} for new ones each. */
 	private @Nullable EndpointLoads sharedLoads;
 
-	private StopPhase phase = StopPhase.RUNNING;
+	private final MonotonicClock.Manual stopClock = new MonotonicClock.Manual();
+
+	private final ServiceTimes serviceTimes = new ServiceTimes();
+
+	private final PlannedStop plannedStop = new PlannedStop(this.stopClock, 8_000);
 
 	private @Nullable ServedTables tables;
 
-	private synchronized void log(Event event) {
-		this.events.add(event);
+	/** What happens as soon as an event is logged, by its name. */
+	private final Map<String, Runnable> reactions = new ConcurrentHashMap<>();
+
+	private void log(Event event) {
+		synchronized (this) {
+			this.events.add(event);
+		}
+		Runnable reaction = this.reactions.remove(event.name());
+		if (reaction != null) {
+			reaction.run();
+		}
 	}
 
 	@AfterEach
@@ -154,8 +168,8 @@
 		EndpointLoads loads = (this.sharedLoads != null) ? this.sharedLoads : new EndpointLoads(this.clock);
 		RequestContext context = new RequestContext(() -> this.tables, this.directory, loads, this.connections,
 				Protocol.INSTANCE, this.grants, this.waitingRequests, this.unserved, this.rates, new RetryBudgets(),
-				this.peerRegistry, this.limits, this.quarantine, "domain", () -> this.phase, this.clock,
-				new ServingMetrics(new PrometheusRegistry()), this::log);
+				this.peerRegistry, this.limits, this.quarantine, "domain", this.plannedStop, this.serviceTimes,
+				this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
 		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
 	}
 
@@ -689,12 +703,94 @@
 	void stoppingDaemonRefusesNewRequests(StopPhase stopPhase) throws IOException {
 		route(Execution.REPEATABLE, 1);
 		list(endpoint("a", OK_ANSWER).toEndpoint());
-		this.phase = stopPhase;
+		this.plannedStop.begin();
+		this.plannedStop.enter(stopPhase);
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(503);
+		Truth.assertThat(receivedRequests()).isEqualTo(0);
+	}
+
+	private void stopHasLasted(StopPhase phase, long milliseconds) {
+		this.plannedStop.begin();
+		this.stopClock.advance(Duration.ofMillis(milliseconds));
+		this.plannedStop.enter(phase);
+	}
+
+	// A request was taken late in a planned stop and cut at its end (issue 31).
+	@ParameterizedTest
+	@EnumSource(Execution.class)
+	void stoppingDaemonTakesNothingThatItCannotEnd(Execution execution) throws IOException {
+		route(execution, 2);
+		list(endpoint("a", OK_ANSWER).toEndpoint());
+		stopHasLasted(StopPhase.LEAVING, 5_600);
 		send();
 		Truth.assertThat(this.caller.status()).isEqualTo(503);
 		Truth.assertThat(receivedRequests()).isEqualTo(0);
 	}
 
+	@ParameterizedTest
+	@EnumSource(Execution.class)
+	void stoppingDaemonServesWhatItCanEnd(Execution execution) throws IOException {
+		route(execution, 2);
+		list(endpoint("a", OK_ANSWER, OK_ANSWER).toEndpoint());
+		forward(request(null, null, List.of()), new RecordingCaller());
+		stopHasLasted(StopPhase.LEAVING, 5_600);
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(200);
+	}
+
+	@Test
+	void requestThatWaitedIsNotSentWithTooLittleOfTheStopLeft() throws IOException {
+		route(Execution.REPEATABLE, 2);
+		ScriptedEndpoint endpoint = endpoint("a", OK_ANSWER);
+		this.plannedStop.begin();
+		this.reactions.put("request.waiting", () -> {
+			this.stopClock.advance(Duration.ofMillis(5_700));
+			this.plannedStop.enter(StopPhase.REFUSING);
+			list(endpoint.toEndpoint());
+			this.waitingRequests.signal();
+		});
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(503);
+		Truth.assertThat(receivedRequests()).isEqualTo(0);
+	}
+
+	@Test
+	void requestIsNotSentAgainWithTooLittleOfTheStopLeft() throws IOException {
+		route(Execution.REPEATABLE, 2);
+		String failure = "HTTP/1.1 500 Bad\r\nId: r\r\nMark: e\r\nContent-Length: 2\r\n\r\nno";
+		list(endpoint("a", failure).toEndpoint(), endpoint("b", failure).toEndpoint());
+		this.plannedStop.begin();
+		this.reactions.put("request.sent", () -> this.stopClock.advance(Duration.ofMillis(6_000)));
+		send();
+		Truth.assertThat(receivedRequests()).isEqualTo(1);
+		Truth.assertThat(this.caller.status()).isEqualTo(500);
+	}
+
+	// At the end of a planned stop callers were cut without an answer (issue 31).
+	@ParameterizedTest
+	@CsvSource({ "AT_MOST_ONCE, '', 504, false", "REPEATABLE, '', 504, false", "RESUMABLE_STREAM, '', 504, false",
+			"STREAM, 'id: 1\n\n', 200, true" })
+	@Timeout(ENDLESS_TIMEOUT_SECONDS)
+	void endOfStopAnswersCallersWithoutAnswer(Execution execution, String begun, int status, boolean aborted)
+			throws IOException {
+		route(execution, 2);
+		ScriptedEndpoint endpoint = endpoint("a", begun.isEmpty() ? "" : STREAM + chunk(begun));
+		list(endpoint.toEndpoint());
+		this.plannedStop.begin();
+		Thread.startVirtualThread(() -> {
+			while (endpoint.heads().isEmpty() || !this.caller.body().equals(begun)) {
+				Thread.onSpinWait();
+			}
+			this.plannedStop.enter(StopPhase.GIVING_UP);
+		});
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(status);
+		Truth.assertThat(this.caller.isAborted()).isEqualTo(aborted);
+		Truth.assertThat(this.events.stream().map(Event::name).toList())
+			.containsNoneOf("request.exchange_failed", "request.exchange_silent");
+	}
+
 	@Test
 	void sendsNothingForDisconnectedCaller() throws IOException {
 		route(Execution.REPEATABLE, 1);
