A stopping daemon waits for estimates, and its signal counts once

A wait without an estimate now counts as long again as it has lasted, so that the placing daemon's estimate, which comes within a tenth of a second or two, decides. A refused caller is told to return when it has noticed the stop, if that still meets its objective. Besides, a second SIGTERM began the stop anew: the daemon took requests again until 2.7 s after it, while the first stop ended the process. Found in reading; repeatedSignalDoesNotProlongTheStop.

--- a/kernel/src/main/java/org/masticshelf/kernel/admission/StopDecision.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/admission/StopDecision.java
@@ -12,6 +12,7 @@
 
 	/**
 	 * Decides on a request that is admitted, waits or is about to be sent.
+	 * @param waitedMilliseconds how long it has waited
 	 * @param waitMilliseconds the expected time until it can be sent, 0 for now, negative
 	 * if unknown
 	 * @param serviceMilliseconds how long an endpoint may take to answer it completely
@@ -19,12 +20,13 @@
 	 * no stop has begun
 	 * @return the decision
 	 */
-	static StopDecision decide(long waitMilliseconds, long serviceMilliseconds, long leftMilliseconds) {
+	static StopDecision decide(long waitedMilliseconds, long waitMilliseconds, long serviceMilliseconds,
+			long leftMilliseconds) {
 		if (leftMilliseconds == Long.MAX_VALUE) {
 			return Serve.INSTANCE;
 		}
-		// Without an estimate, another request has to end first.
-		long wait = (waitMilliseconds >= 0) ? waitMilliseconds : serviceMilliseconds;
+		// A wait of unknown length is expected to last as long again.
+		long wait = (waitMilliseconds >= 0) ? waitMilliseconds : waitedMilliseconds;
 		long missing = wait + serviceMilliseconds - leftMilliseconds;
 		return (missing <= 0) ? Serve.INSTANCE : new Refuse(missing);
 	}
--- a/kernel/src/test/java/org/masticshelf/kernel/admission/StopDecisionTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/admission/StopDecisionTests.java
@@ -10,10 +10,10 @@
 class StopDecisionTests {
 
 	@ParameterizedTest
-	@CsvSource({ "0, 2000, 2000, 0", "0, 2001, 2000, 1", "500, 1600, 2000, 100", "-1, 1000, 2000, 0",
-			"-1, 1001, 2000, 2", "60000, 60000, 9223372036854775807, 0" })
-	void refusesWhatCannotEndBeforeTheStop(long wait, long service, long left, long missing) {
-		StopDecision decision = StopDecision.decide(wait, service, left);
+	@CsvSource({ "0, 0, 2000, 2000, 0", "900, 0, 2001, 2000, 1", "0, 500, 1600, 2000, 100", "0, -1, 2000, 2000, 0",
+			"300, -1, 2000, 2000, 300", "0, 60000, 60000, 9223372036854775807, 0" })
+	void refusesWhatCannotEndBeforeTheStop(long waited, long wait, long service, long left, long missing) {
+		StopDecision decision = StopDecision.decide(waited, wait, service, left);
 		Truth.assertThat(decision)
 			.isEqualTo((missing > 0) ? new StopDecision.Refuse(missing) : StopDecision.Serve.INSTANCE);
 	}
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -292,9 +292,13 @@
 	/**
 	 * Stops gracefully: reports unready, hands over duties, waits until callers stop
 	 * sending requests and running ones have ended, and releases the lease.
+	 * @return whether this call has stopped the daemon, false if another one does
 	 */
-	public void drain() {
-		this.plannedStop.begin();
+	public boolean drain() {
+		if (!this.plannedStop.begin()) {
+			EventLog.info(Event.named("daemon.stop_repeated").with("phase", this.plannedStop.phase()));
+			return false;
+		}
 		enterPhase(StopPhase.LEAVING);
 		this.placement.stop();
 		// Pending orders end before the settling time of the next holder has passed.
@@ -317,6 +321,7 @@
 			.with("cut_requests", this.forwarder.activeRequests())
 			.with("given_up_requests", givenUp)
 			.with("took_ms", this.plannedStop.elapsedMilliseconds()));
+		return true;
 	}
 
 	private void enterPhase(StopPhase phase) {
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -241,14 +241,18 @@
 			return true;
 		}
 		refundIfNotRun();
-		refuse(SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE_MILLISECONDS);
+		// A caller that returns before it has noticed the stop may be refused here again.
+		long unnoticed = this.context.plannedStop().unnoticedMilliseconds();
+		boolean meetsObjective = elapsed() + unnoticed <= route().objectiveMilliseconds();
+		refuse(SERVICE_UNAVAILABLE, "stopping",
+				meetsObjective ? Math.max(RETRY_ELSEWHERE_MILLISECONDS, unnoticed) : RETRY_ELSEWHERE_MILLISECONDS);
 		return true;
 	}
 
 	private StopDecision decideOnStop(@Nullable ServedEndpoint endpoint, long waitMilliseconds) {
 		long service = this.context.serviceTimes()
 			.estimate(pool(), loadable(), this.request.outputTokens(), endpoint, remaining());
-		return StopDecision.decide(waitMilliseconds, service, this.context.plannedStop().leftMilliseconds());
+		return StopDecision.decide(elapsed(), waitMilliseconds, service, this.context.plannedStop().leftMilliseconds());
 	}
 
 	private boolean endsBeforeStop() {
--- a/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
@@ -50,10 +50,17 @@
 		this.limitMilliseconds = limitMilliseconds;
 	}
 
-	/** Begins the stop. */
-	public void begin() {
+	/**
+	 * Begins the stop.
+	 * @return whether it has begun now, false if it had begun before
+	 */
+	public synchronized boolean begin() {
+		if (this.begunAt != NOT_BEGUN) {
+			return false;
+		}
 		this.begunAt = this.clock.milliseconds();
 		this.phase = StopPhase.LEAVING;
+		return true;
 	}
 
 	/**
@@ -124,6 +131,14 @@
 		return (this.begunAt == NOT_BEGUN) ? NOT_BEGUN : this.clock.milliseconds() - this.begunAt;
 	}
 
+	/**
+	 * Returns the time until callers have noticed the stop.
+	 * @return the time in milliseconds, 0 if it has passed
+	 */
+	public long unnoticedMilliseconds() {
+		return Math.max(0, PROBE_FAILURE_MILLISECONDS - elapsedMilliseconds());
+	}
+
 	/**
 	 * Returns the time in which the answer of an endpoint can still be passed on.
 	 * @return the time in milliseconds, {@link Long#MAX_VALUE} if no stop has begun
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -725,6 +725,7 @@
 		stopHasLasted(StopPhase.LEAVING, 5_600);
 		send();
 		Truth.assertThat(this.caller.status()).isEqualTo(503);
+		Truth.assertThat(this.caller.header("Retry-After")).isEqualTo("0.050");
 		Truth.assertThat(receivedRequests()).isEqualTo(0);
 	}
 
--- a/serving/src/test/java/org/masticshelf/serving/request/PlannedStopTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/PlannedStopTests.java
@@ -33,6 +33,16 @@
 		Truth.assertThat(this.stop.leftMilliseconds()).isEqualTo(left);
 	}
 
+	@Test
+	void repeatedSignalDoesNotProlongTheStop() {
+		Truth.assertThat(this.stop.begin()).isTrue();
+		this.clock.advance(Duration.ofMillis(5_000));
+		this.stop.enter(StopPhase.REFUSING);
+		Truth.assertThat(this.stop.begin()).isFalse();
+		Truth.assertThat(this.stop.phase()).isEqualTo(StopPhase.REFUSING);
+		Truth.assertThat(this.stop.leftMilliseconds()).isEqualTo(2_500);
+	}
+
 	@Test
 	void timeIsUnlimitedBeforeTheStop() {
 		Truth.assertThat(this.stop.leftMilliseconds()).isEqualTo(Long.MAX_VALUE);
