--- a/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/ResidencyPlannerTests.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -412,6 +413,23 @@
 		Truth.assertThat(plan().steps().getFirst().loadable()).isEqualTo(LoadableName.ofModel("c"));
 	}
 
+	/**
+	 * The models of the only engine that has the starved one on its disk are in use all
+	 * the time.
+	 */
+	@Test
+	@Tag("known-red")
+	void starvedModelIsFetchedElsewhereIfTheEngineWithItsCopyCannotMakeRoom() {
+		for (String name : List.of("a", "b", "c", "starved")) {
+			addModel(name, 0);
+		}
+		addEngine("full", Map.of("a", inUse(), "b", inUse(), "c", inUse()), Set.of("a", "b", "c", "starved"));
+		addEngine("empty", Map.of(), Set.of());
+		addWaitingRequest("starved", 3_000);
+		this.unserved.put(LoadableName.ofModel("starved"), new UnservedDemand.Requests(4, 20_000, 1_000));
+		Truth.assertThat(plan().steps()).hasSize(1);
+	}
+
 	/**
 	 * The weight store has time before the first request, but engines are full.
 	 * @param copies the engines on which the first model is loaded
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/StoreThroughputTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/StoreThroughputTests.java
@@ -1,6 +1,7 @@
 package org.masticshelf.kernel.residency;
 
 import com.google.common.truth.Truth;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -88,4 +89,17 @@
 		Truth.assertThat(slow).isAtMost(80 / 8);
 	}
 
+	/**
+	 * Replays recorded loads that began together, so that the first counted one that the
+	 * store began later. The store serves two at full speed.
+	 */
+	@Test
+	@Tag("known-red")
+	void loadsThatBeganTogetherDoNotShowMoreThanTheStoreServes() {
+		StoreThroughput throughput = new StoreThroughput(4).learn(8_002, NOMINAL_MILLISECONDS, 3)
+			.learn(12_079, NOMINAL_MILLISECONDS, 2)
+			.learn(16_000, NOMINAL_MILLISECONDS, 4);
+		Truth.assertThat(throughput.loadsAtFullSpeed()).isEqualTo(2);
+	}
+
 }
