--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -115,7 +115,7 @@
 				.with("cost", (long) cost)
 				.with("prompt_tokens", this.request.promptTokens())
 				.with("output_tokens", this.request.outputTokens())
-				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds()));
+				.with("stop_left_ms", this.context.plannedStop().leftForLog()));
 		return new Admitted(route, organisation, pool, cost);
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -235,7 +235,7 @@
 		this.context.log()
 			.accept(event("request.too_late_for_stop").with("wait_ms", waitMilliseconds)
 				.with("missing_ms", refuse.missingMilliseconds())
-				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds()));
+				.with("stop_left_ms", this.context.plannedStop().leftForLog()));
 		if (this.mayHaveRun || this.relay.isStarted()) {
 			giveUpAfterFailure(true);
 			return true;
@@ -292,7 +292,7 @@
 				.with("sending", this.sends)
 				.with("waited_ms", elapsed())
 				.with("left_ms", remaining())
-				.with("stop_left_ms", this.context.plannedStop().leftMilliseconds())
+				.with("stop_left_ms", this.context.plannedStop().leftForLog())
 				.with("requests_there", this.context.loads().view(endpoint).own())
 				.with("resume_after", this.relay.lastIdentifier()));
 		this.context.metrics().recordSend(pool());
--- a/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/PlannedStop.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.jspecify.annotations.Nullable;
+
 import org.masticshelf.kernel.time.MonotonicClock;
 
 /**
@@ -148,4 +150,12 @@
 				: Math.max(0, endOf(StopPhase.ENDING) - elapsedMilliseconds());
 	}
 
+	/**
+	 * Returns the time that is left, for logs.
+	 * @return the time in milliseconds, {@code null} if no stop has begun
+	 */
+	@Nullable Long leftForLog() {
+		return (this.begunAt == NOT_BEGUN) ? null : Long.valueOf(leftMilliseconds());
+	}
+
 }
