--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
@@ -68,9 +68,7 @@
 	 * @return the route or {@code null}
 	 */
 	public @Nullable ServedRoute findRoute(String host, String path) {
-		int colon = host.lastIndexOf(':');
-		String name = ((colon > 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
-		for (ServedRoute route : this.routesByHost.getOrDefault(name, List.of())) {
+		for (ServedRoute route : this.routesByHost.getOrDefault(hostName(host), List.of())) {
 			if (path.startsWith(route.prefix())) {
 				return route;
 			}
@@ -78,6 +76,16 @@
 		return null;
 	}
 
+	/**
+	 * Returns the name of a host as routes state it.
+	 * @param host the host that the caller addressed, with or without a port
+	 * @return the name without the port, in lower case
+	 */
+	public static String hostName(String host) {
+		int colon = host.lastIndexOf(':');
+		return ((colon > 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+	}
+
 	/**
 	 * Finds a pool by name.
 	 * @param name the name of the pool
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -16,6 +16,7 @@
 import org.masticshelf.serving.caller.CallerChannel;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
+import org.masticshelf.serving.quarantine.RequestFingerprints;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
@@ -76,6 +77,8 @@
 
 	private final StreamRelay relay;
 
+	private final RequestFingerprints fingerprints;
+
 	private final Set<String> avoidedEndpoints = new HashSet<>();
 
 	private Admission.@Nullable Admitted admitted;
@@ -101,6 +104,7 @@
 		this.caller = caller;
 		this.reply = new CallerReply(context, request, caller, arrivedNanoseconds);
 		this.relay = new StreamRelay(caller, request.resumeAfter());
+		this.fingerprints = new RequestFingerprints(request);
 	}
 
 	/** Serves or refuses the request. */
@@ -366,6 +370,7 @@
 				.with("reason", reason)
 				.with("answering_ms", answeringMilliseconds())
 				.with("segments", this.request.sharedSegments())
+				.with("request", this.fingerprints.whole())
 				.with("ejected_ms", ejectedMilliseconds));
 	}
 
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.quarantine.RequestFingerprint;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
@@ -142,8 +143,13 @@
 	}
 
 	private static ServedRequest request(@Nullable LoadableName loadable, @Nullable String key, List<String> segments) {
+		return request(loadable, key, segments, "body");
+	}
+
+	private static ServedRequest request(@Nullable LoadableName loadable, @Nullable String key, List<String> segments,
+			String body) {
 		return new ServedRequest("r", "POST", "/a/b?c", "host", key, 2_000, loadable, 10, 10, "", segments, null,
-				List.of(new Header("Id", "r")), "body".getBytes(StandardCharsets.UTF_8));
+				List.of(new Header("Id", "r")), body.getBytes(StandardCharsets.UTF_8));
 	}
 
 	private void send(ServedRequest request) {
@@ -526,15 +532,17 @@
 
 	/** What requests have in common that crash engines is found by these fields. */
 	@Test
-	void failedExchangeNamesSegmentsAndRunOfEndpoint() throws IOException {
+	void failedExchangeNamesSegmentsRequestAndRunOfEndpoint() throws IOException {
 		route(Execution.STREAM, 1, engine(), List.of());
 		list(endpoint("a", "<close>").toEndpoint("m"));
-		send(request(LoadableName.ofModel("m"), null, List.of("5c", "91")));
+		ServedRequest request = request(LoadableName.ofModel("m"), null, List.of("5c", "91"));
+		send(request);
 		Event failure = this.events.stream()
 			.filter((event) -> event.name().equals("request.exchange_failed"))
 			.findFirst()
 			.orElseThrow();
 		Truth.assertThat(failure.field("segments")).isEqualTo("[5c, 91]");
+		Truth.assertThat(failure.field("request")).isEqualTo(RequestFingerprint.of(request));
 		Truth.assertThat(failure.field("started_at")).isEqualTo("1");
 		Truth.assertThat(failure.field("answering_ms")).isEqualTo("-1");
 	}
@@ -675,9 +683,13 @@
 	}
 
 	private RecordingCaller forward(String... segments) {
-		RecordingCaller segmentCaller = new RecordingCaller();
-		forward(request(LoadableName.ofModel("m"), null, List.of(segments)), segmentCaller);
-		return segmentCaller;
+		return forward(request(LoadableName.ofModel("m"), null, List.of(segments)));
+	}
+
+	private RecordingCaller forward(ServedRequest request) {
+		RecordingCaller requestCaller = new RecordingCaller();
+		forward(request, requestCaller);
+		return requestCaller;
 	}
 
 	private static EngineProfile engine() {
