--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -15,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -567,6 +568,27 @@
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 	}
 
+	/** Guards against one request crashing endpoint after endpoint (BUDGET). */
+	@Tag("known-red")
+	@ParameterizedTest
+	@CsvSource({ "true, system", "true, ''", "false, ''" })
+	void requestThatCrashedThreeEndpointsReachesNoFurtherOne(boolean streamed, String segment) throws IOException {
+		route(streamed ? Execution.STREAM : Execution.AT_MOST_ONCE, 1, streamed ? engine() : null, List.of());
+		LoadableName model = streamed ? LoadableName.ofModel("m") : null;
+		List<String> segments = segment.isEmpty() ? List.of() : List.of(segment);
+		for (String name : List.of("a", "b", "c")) {
+			list(endpoint(name, "<close>").toEndpoint("m"));
+			this.quarantineClock.advance(Duration.ofSeconds(1));
+			Truth.assertThat(forward(request(model, null, segments, "deadly")).status()).isEqualTo(502);
+		}
+		this.quarantineClock.advance(Duration.ofSeconds(1));
+		ScriptedEndpoint last = endpoint("d", streamed ? STREAM + chunk("id: 1\n\n") + "0\r\n\r\n" : OK_ANSWER);
+		list(last.toEndpoint("m"));
+		Truth.assertThat(forward(request(model, null, segments, "deadly")).status()).isEqualTo(503);
+		Truth.assertThat(last.heads()).isEmpty();
+		Truth.assertThat(forward(request(model, null, segments, "sound")).status()).isEqualTo(200);
+	}
+
 	/** A repeat crashes the next engine if the prompt is what crashed the first ones. */
 	@ParameterizedTest
 	@CsvSource({ "deadly, 2", "'', 4" })
