--- a/bench/src/main/java/org/masticshelf/bench/EvidenceBench.java
+++ b/bench/src/main/java/org/masticshelf/bench/EvidenceBench.java
@@ -8,7 +8,7 @@
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.transport.json.Json;
 
 /**
@@ -36,7 +36,7 @@
 
 	private final Random random = new Random(1);
 
-	private final List<PromptQuarantine> daemons = new ArrayList<>();
+	private final List<RequestQuarantine> daemons = new ArrayList<>();
 
 	private List<Letter> arriving = new ArrayList<>();
 
@@ -53,7 +53,7 @@
 	private EvidenceBench(int daemons) {
 		this.clock.advance(Duration.ofHours(1));
 		for (int daemon = 0; daemon < daemons; daemon++) {
-			this.daemons.add(new PromptQuarantine(this.clock, (event) -> {
+			this.daemons.add(new RequestQuarantine(this.clock, (event) -> {
 			}, () -> {
 			}));
 		}
@@ -104,12 +104,12 @@
 		return Integer.toHexString(this.random.nextInt()) + "91bd";
 	}
 
-	private PromptQuarantine anyDaemon() {
+	private RequestQuarantine anyDaemon() {
 		return this.daemons.get(this.random.nextInt(this.daemons.size()));
 	}
 
-	private static boolean refuses(PromptQuarantine daemon) {
-		return daemon.examine(List.of("deadly")) instanceof PromptQuarantine.Finding.Quarantined;
+	private static boolean refuses(RequestQuarantine daemon) {
+		return daemon.examine(List.of("deadly")) instanceof RequestQuarantine.Finding.Quarantined;
 	}
 
 	private void step(int at) {
@@ -129,7 +129,7 @@
 		this.nanoseconds += System.nanoTime() - begun;
 	}
 
-	private void tell(PromptQuarantine daemon, int peers) {
+	private void tell(RequestQuarantine daemon, int peers) {
 		for (int peer = 0; peer < peers; peer++) {
 			byte[] message = Json.toBytes(daemon.evidence());
 			this.messages++;
@@ -145,7 +145,7 @@
 	 * @param to the daemon that gets it
 	 * @param message the encoded evidence
 	 */
-	private record Letter(PromptQuarantine to, byte[] message) {
+	private record Letter(RequestQuarantine to, byte[] message) {
 	}
 
 }
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -63,7 +63,7 @@
 	 * monotonic milliseconds, {@link #NEVER} if it never did
 	 * @return the verdicts on the segments that are suspected or implicated
 	 */
-	public static Map<String, SegmentVerdict> judge(Collection<EndpointCrash> crashes,
+	public static Map<String, CrashVerdict> judge(Collection<EndpointCrash> crashes,
 			ToLongFunction<String> answeredAt) {
 		Map<String, Suspect> suspects = new HashMap<>();
 		for (EndpointCrash crash : crashes) {
@@ -74,7 +74,7 @@
 				}
 			});
 		}
-		Map<String, SegmentVerdict> verdicts = new HashMap<>();
+		Map<String, CrashVerdict> verdicts = new HashMap<>();
 		Suspect mostBlamed = findMostBlamed(suspects.values());
 		while (mostBlamed != null) {
 			suspects.remove(mostBlamed.segment);
@@ -85,7 +85,7 @@
 		}
 		for (Suspect suspect : suspects.values()) {
 			if (suspect.speaksAgainst(suspect.crashes, 1)) {
-				verdicts.put(suspect.segment, new SegmentVerdict.Suspected(suspect.latestFirst()));
+				verdicts.put(suspect.segment, new CrashVerdict.Suspected(suspect.latestFirst()));
 			}
 		}
 		return verdicts;
@@ -139,13 +139,13 @@
 			return !this.answeredBefore || last - first > SIMULTANEOUS_MILLISECONDS;
 		}
 
-		private SegmentVerdict.Implicated implicate() {
+		private CrashVerdict.Implicated implicate() {
 			List<EndpointCrash> latestFirst = latestFirst();
 			int needed = IMPLICATING_CRASHES;
 			while (needed < latestFirst.size() && !speaksAgainst(latestFirst.subList(0, needed), 0)) {
 				needed++;
 			}
-			return new SegmentVerdict.Implicated(latestFirst, needed);
+			return new CrashVerdict.Implicated(latestFirst, needed);
 		}
 
 		private List<EndpointCrash> latestFirst() {
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/SegmentVerdict.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashVerdict.java
@@ -6,7 +6,7 @@
  * What crashes of endpoints say about a segment of prompts. Implementations are
  * immutable.
  */
-public sealed interface SegmentVerdict {
+public sealed interface CrashVerdict {
 
 	/**
 	 * Returns the crashes that speak against the segment.
@@ -19,7 +19,7 @@
 	 *
 	 * @param crashes the crashes, the latest first
 	 */
-	record Suspected(List<EndpointCrash> crashes) implements SegmentVerdict {
+	record Suspected(List<EndpointCrash> crashes) implements CrashVerdict {
 
 		/**
 		 * Creates a verdict.
@@ -37,7 +37,7 @@
 	 * @param crashes the crashes, the latest first
 	 * @param needed how many of them suffice for the verdict
 	 */
-	record Implicated(List<EndpointCrash> crashes, int needed) implements SegmentVerdict {
+	record Implicated(List<EndpointCrash> crashes, int needed) implements CrashVerdict {
 
 		/**
 		 * Creates a verdict.
--- a/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
@@ -45,17 +45,17 @@
 		return times;
 	}
 
-	private static Map<String, SegmentVerdict> judge(String crashes, String answers) {
+	private static Map<String, CrashVerdict> judge(String crashes, String answers) {
 		Map<String, Long> answeredAt = times(answers);
 		return CrashAttribution.judge(crashes(crashes),
 				(segment) -> answeredAt.getOrDefault(segment, CrashAttribution.NEVER));
 	}
 
-	private static String describe(Map<String, SegmentVerdict> verdicts) {
+	private static String describe(Map<String, CrashVerdict> verdicts) {
 		StringBuilder text = new StringBuilder();
 		new TreeMap<>(verdicts).forEach((segment, verdict) -> text.append(switch (verdict) {
-			case SegmentVerdict.Implicated implicated -> segment + "! ";
-			case SegmentVerdict.Suspected suspected -> segment + " ";
+			case CrashVerdict.Implicated implicated -> segment + "! ";
+			case CrashVerdict.Suspected suspected -> segment + " ";
 		}));
 		return text.toString().strip();
 	}
@@ -90,7 +90,7 @@
 	@CsvSource(delimiter = '|', value = { "1000@a:p 2000@b:p 3000@c:p | 3000 | 1000",
 			"1000@a:p 2000@b:p 3000@c:p 4000@d:p | 3000 | 2000", "1000@a:p 2000@a:p 3000@a:p 4000@a:p | 4000 | 1000" })
 	void verdictRestsOnCrashesThatSuffice(String crashes, long since, long decisive) {
-		if (!(judge(crashes, "").get("p") instanceof SegmentVerdict.Implicated implicated)) {
+		if (!(judge(crashes, "").get("p") instanceof CrashVerdict.Implicated implicated)) {
 			throw new AssertionError("not implicated");
 		}
 		Truth.assertThat(implicated.since()).isEqualTo(since);
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -29,7 +29,7 @@
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.peer.PeerSelection;
 import org.masticshelf.serving.placement.Placement;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.UnservedRequests;
 import org.masticshelf.serving.request.WaitingRequests;
@@ -336,7 +336,7 @@
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
 			EndpointDirectory directory, WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates,
-			Placement placement, EndpointLimits limits, PromptQuarantine quarantine) {
+			Placement placement, EndpointLimits limits, RequestQuarantine quarantine) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -32,7 +32,7 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.placement.Placement;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.RequestContext;
@@ -109,7 +109,7 @@
 
 	private final UnservedRequests unserved = new UnservedRequests(this.clock);
 
-	private final PromptQuarantine quarantine = new PromptQuarantine(this.clock, EventLog::info, this::findingsChanged);
+	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info, this::findingsChanged);
 
 	private final EndpointLimits endpointLimits;
 
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
@@ -35,7 +35,7 @@
 
 	private final KeyValueStore store;
 
-	private final PromptQuarantine quarantine;
+	private final RequestQuarantine quarantine;
 
 	private final MonotonicClock clock;
 
@@ -59,7 +59,7 @@
 	 * @param wallClock the clock for the times in the record
 	 * @param log receives the events
 	 */
-	public QuarantineRecord(KeyValueStore store, PromptQuarantine quarantine, MonotonicClock clock,
+	public QuarantineRecord(KeyValueStore store, RequestQuarantine quarantine, MonotonicClock clock,
 			InstantSource wallClock, Consumer<Event> log) {
 		this.store = store;
 		this.quarantine = quarantine;
@@ -107,13 +107,13 @@
 	private synchronized void noteEnd(@Nullable Throwable failure) {
 		this.calling = false;
 		if (failure != null) {
-			this.log.accept(Event.named("prompt.record_failed").with("cause", failure.toString()));
+			this.log.accept(Event.named("quarantine.record_failed").with("cause", failure.toString()));
 		}
 	}
 
 	private synchronized void noteWritten(Set<String> runs) {
 		this.recordedRuns = runs;
-		this.log.accept(Event.named("prompt.recorded").with("crashes", runs.size()));
+		this.log.accept(Event.named("quarantine.recorded").with("crashes", runs.size()));
 	}
 
 	private synchronized void adopt(KeyValueStore.Entry entry) {
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/PromptQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
@@ -12,8 +12,8 @@
 
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.quarantine.CrashAttribution;
+import org.masticshelf.kernel.quarantine.CrashVerdict;
 import org.masticshelf.kernel.quarantine.EndpointCrash;
-import org.masticshelf.kernel.quarantine.SegmentVerdict;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
@@ -27,7 +27,7 @@
  * Invariants: a crash is forgotten after {@link #RETENTION_MILLISECONDS}; crashes,
  * segments and answers are bounded in number. Thread-safe.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
 
 	/** How long a crash is taken into account. */
 	public static final long RETENTION_MILLISECONDS = 300_000;
@@ -74,7 +74,7 @@
 	/** Segments whose answer a peer seems not to know, with the time of its message. */
 	private final Map<String, Long> contestedAnswers = new AnswerTimes();
 
-	private Map<String, SegmentVerdict> verdicts = Map.of();
+	private Map<String, CrashVerdict> verdicts = Map.of();
 
 	private boolean judgementDue;
 
@@ -90,7 +90,7 @@
 	 * @param log receives the events
 	 * @param listener called when there is news for peers
 	 */
-	public PromptQuarantine(MonotonicClock clock, Consumer<Event> log, Runnable listener) {
+	public RequestQuarantine(MonotonicClock clock, Consumer<Event> log, Runnable listener) {
 		this.clock = clock;
 		this.log = log;
 		this.listener = listener;
@@ -110,11 +110,11 @@
 		Finding gravest = Finding.Clear.INSTANCE;
 		for (String segment : segments) {
 			switch (this.verdicts.get(segment)) {
-				case SegmentVerdict.Implicated verdict when now - verdict.since() >= CONFIRMATION_MILLISECONDS -> {
+				case CrashVerdict.Implicated verdict when now - verdict.since() >= CONFIRMATION_MILLISECONDS -> {
 					long until = verdict.decisive().at() + RETENTION_MILLISECONDS;
 					return new Finding.Quarantined(segment, verdict.crashes().size(), Math.max(1, until - now));
 				}
-				case SegmentVerdict verdict -> gravest = new Finding.Suspected(segment, verdict.crashes().size());
+				case CrashVerdict verdict -> gravest = new Finding.Suspected(segment, verdict.crashes().size());
 				case null -> {
 				}
 			}
@@ -171,7 +171,7 @@
 			if (now - at < RETENTION_MILLISECONDS
 					&& add(new EndpointCrash(crash.run(), crash.address(), at, crash.segments()))) {
 				this.judgementDue = true;
-				this.log.accept(Event.named("prompt.crash_learned")
+				this.log.accept(Event.named("quarantine.crash_learned")
 					.with("peer", peer)
 					.with("run", crash.run())
 					.with("age_ms", crash.age())
@@ -237,7 +237,7 @@
 		for (EndpointCrash crash : gravestFirst()) {
 			Map<String, Integer> segments = new HashMap<>(crash.segments());
 			segments.keySet()
-				.removeIf((segment) -> !(this.verdicts.get(segment) instanceof SegmentVerdict.Implicated)
+				.removeIf((segment) -> !(this.verdicts.get(segment) instanceof CrashVerdict.Implicated)
 						|| answeredAt(segment) >= crash.at());
 			if (!segments.isEmpty() && implicating.size() < MAXIMUM_REPORTED_CRASHES) {
 				implicating.add(new PeerMessage.Crash(crash.run(), crash.address(), now - crash.at(), segments));
@@ -270,7 +270,7 @@
 	 */
 	public synchronized int size() {
 		judgeIfDue(this.clock.milliseconds());
-		return (int) this.verdicts.values().stream().filter(SegmentVerdict.Implicated.class::isInstance).count();
+		return (int) this.verdicts.values().stream().filter(CrashVerdict.Implicated.class::isInstance).count();
 	}
 
 	/**
@@ -368,32 +368,32 @@
 		this.judgementDue = false;
 		this.judgedAt = now;
 		forgetOld(now);
-		Map<String, SegmentVerdict> before = this.verdicts;
+		Map<String, CrashVerdict> before = this.verdicts;
 		this.verdicts = this.crashes.isEmpty() ? Map.of()
 				: CrashAttribution.judge(this.crashes.values(), this::answeredAt);
 		this.verdicts.forEach((segment, verdict) -> {
-			SegmentVerdict known = before.get(segment);
+			CrashVerdict known = before.get(segment);
 			if (known == null || known.getClass() != verdict.getClass()) {
 				logVerdict(segment, verdict, now);
 			}
 		});
 		before.forEach((segment, verdict) -> {
 			if (!this.verdicts.containsKey(segment)) {
-				this.log.accept(Event.named("prompt.cleared")
+				this.log.accept(Event.named("quarantine.cleared")
 					.with("segment", segment)
-					.with("was_implicated", verdict instanceof SegmentVerdict.Implicated)
+					.with("was_implicated", verdict instanceof CrashVerdict.Implicated)
 					.with("answered_before_ms", sinceAnswer(segment, now)));
 			}
 		});
 	}
 
-	private void logVerdict(String segment, SegmentVerdict verdict, long now) {
+	private void logVerdict(String segment, CrashVerdict verdict, long now) {
 		List<String> evidence = verdict.crashes()
 			.stream()
 			.map((crash) -> crash.run() + " " + (now - crash.at()) + " ms ago")
 			.toList();
 		this.log.accept(
-				Event.named((verdict instanceof SegmentVerdict.Implicated) ? "prompt.implicated" : "prompt.suspected")
+				Event.named((verdict instanceof CrashVerdict.Implicated) ? "quarantine.implicated" : "quarantine.suspected")
 					.with("segment", segment)
 					.with("crashes", verdict.crashes().size())
 					.with("answered_before_ms", sinceAnswer(segment, now))
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -11,7 +11,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.kernel.serving.ServedTables;
-import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
+import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 
 /**
  * Decides whether a request may run: resolves its route, organisation and pool in the
@@ -81,7 +81,7 @@
 				.accept(this.events.apply("request.quarantined")
 					.with("segment", finding.segment())
 					.with("crashes", finding.crashes()));
-			return new Refused(SERVICE_UNAVAILABLE, "prompt_quarantined", finding.remainingMilliseconds());
+			return new Refused(SERVICE_UNAVAILABLE, "request_quarantined", finding.remainingMilliseconds());
 		}
 		return spend(tables, route, organisation, pool);
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -15,7 +15,7 @@
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.caller.CallerChannel;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
-import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
+import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.serving.quarantine.RequestFingerprints;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
@@ -420,7 +420,7 @@
 			return;
 		}
 		refundIfNotRun();
-		refuse(SERVICE_UNAVAILABLE, "prompt_quarantined", finding.remainingMilliseconds());
+		refuse(SERVICE_UNAVAILABLE, "request_quarantined", finding.remainingMilliseconds());
 	}
 
 	/** Records that the current answer has not harmed its endpoint. */
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -13,7 +13,7 @@
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 
@@ -42,6 +42,6 @@
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates, RetryBudgets retries,
-		PeerRegistry peers, EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain,
+		PeerRegistry peers, EndpointLimits endpointLimits, RequestQuarantine quarantine, String failureDomain,
 		Supplier<StopPhase> stopPhase, MonotonicClock clock, ServingMetrics metrics, Consumer<Event> log) {
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -9,7 +9,7 @@
 import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.placement.StarvationMonitor;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 
 /**
  * Counts requests and measures their latency. Thread-safe.
@@ -52,9 +52,9 @@
 	 * @param registry the registry
 	 * @param quarantine the source of the values
 	 */
-	public static void registerQuarantine(PrometheusRegistry registry, PromptQuarantine quarantine) {
+	public static void registerQuarantine(PrometheusRegistry registry, RequestQuarantine quarantine) {
 		GaugeWithCallback.builder()
-			.name("masticshelf_serving_quarantined_segments")
+			.name("masticshelf_serving_quarantined_fingerprints")
 			.help("Segments of prompts whose requests are refused because they crash endpoints.")
 			.callback((callback) -> callback.call(quarantine.size()))
 			.register(registry);
--- a/serving/src/test/java/org/masticshelf/serving/quarantine/QuarantineRecordTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/quarantine/QuarantineRecordTests.java
@@ -15,7 +15,7 @@
 import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
-import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
+import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.standins.keyvalue.InMemoryKeyValue;
 
 /**
@@ -31,12 +31,12 @@
 
 	private Instant wallTime = Instant.EPOCH;
 
-	private PromptQuarantine quarantine() {
-		return new PromptQuarantine(this.clock, this.events::add, () -> {
+	private RequestQuarantine quarantine() {
+		return new RequestQuarantine(this.clock, this.events::add, () -> {
 		});
 	}
 
-	private QuarantineRecord record(PromptQuarantine quarantine) {
+	private QuarantineRecord record(RequestQuarantine quarantine) {
 		return new QuarantineRecord(this.store, quarantine, this.clock, () -> this.wallTime, this.events::add);
 	}
 
@@ -45,7 +45,7 @@
 		this.wallTime = this.wallTime.plus(time);
 	}
 
-	private void implicate(PromptQuarantine quarantine) {
+	private void implicate(RequestQuarantine quarantine) {
 		IntStream.rangeClosed(1, 3).forEach((number) -> {
 			advance(Duration.ofSeconds(1));
 			quarantine.recordCrash(new ServedEndpoint("e" + number, 1, "pool", "10.0.0." + number, 80, "domain", 8,
@@ -64,12 +64,12 @@
 	/** Guards against deadly requests being sent again after a loss of power (BUDGET). */
 	@Test
 	void daemonsThatAllLostPowerStillRefuseDeadlySegment() {
-		PromptQuarantine before = quarantine();
+		RequestQuarantine before = quarantine();
 		QuarantineRecord recordBefore = record(before);
 		recordBefore.round(true);
 		implicate(before);
 		runRounds(recordBefore, true);
-		PromptQuarantine after = quarantine();
+		RequestQuarantine after = quarantine();
 		runRounds(record(after), false);
 		Truth.assertThat(after.examine(List.of("deadly"))).isInstanceOf(Finding.Quarantined.class);
 		Truth.assertThat(after.examine(List.of("system"))).isInstanceOf(Finding.Clear.class);
@@ -77,13 +77,13 @@
 
 	@Test
 	void recordedCrashesAge() {
-		PromptQuarantine before = quarantine();
+		RequestQuarantine before = quarantine();
 		QuarantineRecord recordBefore = record(before);
 		recordBefore.round(true);
 		implicate(before);
 		runRounds(recordBefore, true);
-		advance(Duration.ofMillis(PromptQuarantine.RETENTION_MILLISECONDS));
-		PromptQuarantine after = quarantine();
+		advance(Duration.ofMillis(RequestQuarantine.RETENTION_MILLISECONDS));
+		RequestQuarantine after = quarantine();
 		runRounds(record(after), false);
 		Truth.assertThat(after.hasEvidence()).isFalse();
 	}
@@ -91,13 +91,13 @@
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
 	void onlyOneDaemonWritesAndOnlyNews(boolean writing) {
-		PromptQuarantine quarantine = quarantine();
+		RequestQuarantine quarantine = quarantine();
 		QuarantineRecord record = record(quarantine);
 		record.round(writing);
 		implicate(quarantine);
 		runRounds(record, writing);
 		runRounds(record, writing);
-		Truth.assertThat(this.events.stream().filter((event) -> event.name().equals("prompt.recorded")).count())
+		Truth.assertThat(this.events.stream().filter((event) -> event.name().equals("quarantine.recorded")).count())
 			.isEqualTo(writing ? 1 : 0);
 	}
 
@@ -107,13 +107,13 @@
 			.transact(new KeyValueStore.Transaction(List.of(),
 					List.of(new KeyValueStore.Operation.Put(QuarantineRecord.KEY, "rubbish", 0))))
 			.join();
-		PromptQuarantine quarantine = quarantine();
+		RequestQuarantine quarantine = quarantine();
 		QuarantineRecord record = record(quarantine);
 		runRounds(record, true);
 		implicate(quarantine);
 		runRounds(record, true);
 		Truth.assertThat(this.events.stream().map(Event::name).toList())
-			.containsAtLeast("prompt.record_failed", "prompt.recorded");
+			.containsAtLeast("quarantine.record_failed", "quarantine.recorded");
 	}
 
 }
--- a/serving/src/test/java/org/masticshelf/serving/quarantine/PromptQuarantineTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/quarantine/RequestQuarantineTests.java
@@ -18,13 +18,13 @@
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
-import org.masticshelf.serving.quarantine.PromptQuarantine.Finding;
+import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.transport.json.Json;
 
 /**
- * Tests {@link PromptQuarantine}.
+ * Tests {@link RequestQuarantine}.
  */
-class PromptQuarantineTests {
+class RequestQuarantineTests {
 
 	/** The largest datagram that peers send each other. */
 	private static final int MAXIMUM_DATAGRAM_BYTES = 60_000;
@@ -33,18 +33,18 @@
 
 	private final List<Event> events = new ArrayList<>();
 
-	private final PromptQuarantine here = quarantine();
+	private final RequestQuarantine here = quarantine();
 
-	private final PromptQuarantine there = quarantine();
+	private final RequestQuarantine there = quarantine();
 
-	private final PromptQuarantine elsewhere = quarantine();
+	private final RequestQuarantine elsewhere = quarantine();
 
-	PromptQuarantineTests() {
+	RequestQuarantineTests() {
 		this.clock.advance(Duration.ofHours(1));
 	}
 
-	private PromptQuarantine quarantine() {
-		return new PromptQuarantine(this.clock, this.events::add, () -> {
+	private RequestQuarantine quarantine() {
+		return new RequestQuarantine(this.clock, this.events::add, () -> {
 		});
 	}
 
@@ -53,13 +53,13 @@
 				ServedEndpoint.Holdings.NONE);
 	}
 
-	private void pass(PromptQuarantine from, PromptQuarantine to, long milliseconds) {
+	private void pass(RequestQuarantine from, RequestQuarantine to, long milliseconds) {
 		byte[] message = Json.toBytes(from.evidence());
 		this.clock.advance(Duration.ofMillis(milliseconds));
 		to.merge("peer", Json.toValue(message, PeerMessage.CrashEvidence.class));
 	}
 
-	private void crash(PromptQuarantine quarantine, int endpoint, String... segments) {
+	private void crash(RequestQuarantine quarantine, int endpoint, String... segments) {
 		this.clock.advance(Duration.ofSeconds(1));
 		quarantine.recordCrash(endpoint(endpoint), List.of(segments));
 	}
@@ -68,7 +68,7 @@
 		this.clock.advance(Duration.ofMillis(100));
 	}
 
-	private boolean isQuarantined(PromptQuarantine quarantine, String... segments) {
+	private boolean isQuarantined(RequestQuarantine quarantine, String... segments) {
 		return quarantine.examine(List.of(segments)) instanceof Finding.Quarantined;
 	}
 
@@ -84,7 +84,7 @@
 		Truth.assertThat(isQuarantined(this.elsewhere, "system", "subject")).isFalse();
 		Truth.assertThat(this.elsewhere.size()).isEqualTo(1);
 		Event event = this.events.stream()
-			.filter((candidate) -> candidate.name().equals("prompt.implicated"))
+			.filter((candidate) -> candidate.name().equals("quarantine.implicated"))
 			.findFirst()
 			.orElseThrow();
 		Truth.assertThat(event.field("evidence")).contains("e1/1 2100 ms ago");
@@ -92,7 +92,7 @@
 
 	@Test
 	void observationsOfOneCrashCountOnce() {
-		for (PromptQuarantine daemon : List.of(this.here, this.there, this.elsewhere)) {
+		for (RequestQuarantine daemon : List.of(this.here, this.there, this.elsewhere)) {
 			daemon.recordCrash(endpoint(1), List.of("sound"));
 		}
 		pass(this.here, this.elsewhere, 5);
@@ -131,7 +131,7 @@
 		pass(this.here, this.there, 5);
 		pass(this.here, this.elsewhere, 5);
 		awaitConfirmation();
-		for (PromptQuarantine daemon : List.of(this.here, this.there, this.elsewhere)) {
+		for (RequestQuarantine daemon : List.of(this.here, this.there, this.elsewhere)) {
 			Truth.assertThat(isQuarantined(daemon, "sound")).isFalse();
 		}
 	}
@@ -156,13 +156,13 @@
 		IntStream.rangeClosed(1, 3).forEach((endpoint) -> crash(this.here, endpoint, "deadly"));
 		awaitConfirmation();
 		Truth.assertThat(this.here.examine(List.of("deadly")))
-			.isEqualTo(new Finding.Quarantined("deadly", 3, PromptQuarantine.RETENTION_MILLISECONDS - 2_100));
-		this.clock.advance(Duration.ofMillis(PromptQuarantine.RETENTION_MILLISECONDS - 2_100));
+			.isEqualTo(new Finding.Quarantined("deadly", 3, RequestQuarantine.RETENTION_MILLISECONDS - 2_100));
+		this.clock.advance(Duration.ofMillis(RequestQuarantine.RETENTION_MILLISECONDS - 2_100));
 		Truth.assertThat(isQuarantined(this.here, "deadly")).isFalse();
 		this.here.recordCrash(endpoint(4), List.of("deadly"));
 		awaitConfirmation();
 		Truth.assertThat(isQuarantined(this.here, "deadly")).isTrue();
-		this.clock.advance(Duration.ofMillis(PromptQuarantine.RETENTION_MILLISECONDS));
+		this.clock.advance(Duration.ofMillis(RequestQuarantine.RETENTION_MILLISECONDS));
 		Truth.assertThat(this.here.examine(List.of("deadly"))).isInstanceOf(Finding.Clear.class);
 		Truth.assertThat(this.here.hasEvidence()).isFalse();
 	}
@@ -248,7 +248,7 @@
 
 		private static final int SOUND_REQUESTS_PER_CRASH = 6;
 
-		private final List<PromptQuarantine> daemons = new ArrayList<>();
+		private final List<RequestQuarantine> daemons = new ArrayList<>();
 
 		private final Random random;
 
@@ -268,7 +268,7 @@
 			}
 		}
 
-		private PromptQuarantine anyDaemon() {
+		private RequestQuarantine anyDaemon() {
 			return this.daemons.get(this.random.nextInt(this.daemons.size()));
 		}
 
@@ -282,10 +282,10 @@
 		}
 
 		private void request(double deadlyShare) {
-			PromptQuarantineTests.this.clock.advance(Duration.ofMillis(20));
+			RequestQuarantineTests.this.clock.advance(Duration.ofMillis(20));
 			int deadly = (this.random.nextDouble() < deadlyShare) ? this.random.nextInt(this.crashes.size()) : -1;
 			List<String> prompt = prompt(deadly);
-			PromptQuarantine daemon = anyDaemon();
+			RequestQuarantine daemon = anyDaemon();
 			boolean refused = isQuarantined(daemon, prompt.toArray(String[]::new));
 			if (deadly < 0 && this.crashes.stream().anyMatch(this::isLate)) {
 				this.lateSound++;
@@ -305,15 +305,15 @@
 		}
 
 		private long now() {
-			return PromptQuarantineTests.this.clock.milliseconds();
+			return RequestQuarantineTests.this.clock.milliseconds();
 		}
 
-		private void crash(PromptQuarantine daemon, List<String> prompt, int deadly) {
+		private void crash(RequestQuarantine daemon, List<String> prompt, int deadly) {
 			this.crashes.get(deadly).add(now());
 			ServedEndpoint endpoint = endpoint(++this.runs);
 			daemon.recordCrash(endpoint, prompt);
 			for (int sound = 0; sound < SOUND_REQUESTS_PER_CRASH; sound++) {
-				PromptQuarantine other = anyDaemon();
+				RequestQuarantine other = anyDaemon();
 				List<String> soundPrompt = prompt(-1);
 				if (!isQuarantined(other, soundPrompt.toArray(String[]::new))) {
 					other.recordCrash(endpoint, soundPrompt);
@@ -322,22 +322,22 @@
 		}
 
 		private void gossip() {
-			Set<PromptQuarantine> informed = new HashSet<>();
-			for (PromptQuarantine daemon : this.daemons) {
+			Set<RequestQuarantine> informed = new HashSet<>();
+			for (RequestQuarantine daemon : this.daemons) {
 				if (daemon.takeChanged()) {
 					IntStream.range(0, 4).forEach((peer) -> informed.add(tell(daemon)));
 				}
 			}
 			informed.forEach(this::tell);
-			for (PromptQuarantine daemon : this.daemons) {
+			for (RequestQuarantine daemon : this.daemons) {
 				if (this.random.nextInt(150) < 20) {
 					tell(daemon);
 				}
 			}
 		}
 
-		private PromptQuarantine tell(PromptQuarantine from) {
-			PromptQuarantine peer = anyDaemon();
+		private RequestQuarantine tell(RequestQuarantine from) {
+			RequestQuarantine peer = anyDaemon();
 			peer.merge("peer", from.evidence());
 			return peer;
 		}
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -42,7 +42,7 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.upstream.AnswerHead;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
@@ -83,7 +83,7 @@
 
 	private final MonotonicClock.Manual quarantineClock = new MonotonicClock.Manual();
 
-	private final PromptQuarantine quarantine = new PromptQuarantine(this.quarantineClock, this::log, () -> {
+	private final RequestQuarantine quarantine = new RequestQuarantine(this.quarantineClock, this::log, () -> {
 	});
 
 	private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
