--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -13,41 +13,42 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Attributes crashes of endpoints to segments of the prompts that they had just been
- * given.
+ * Attributes crashes of endpoints to what the requests that they had just been given have
+ * in common: segments of their prompts, or the whole request.
  * <p>
- * Designed for segments that crash every endpoint that answers them, while their requests
- * arrive at all daemons among sound ones that share their other segments and are on the
- * crashing endpoints, too. A request that is answered clears its segments of all earlier
- * crashes. Of the segments that remain, the most blamed one explains its crashes, which
- * then no longer speak against those beside it. A segment that is blamed wrongly loses
- * that place as soon as the true one crashes endpoints without it.
+ * Designed for segments and requests that crash every endpoint that runs them, and that
+ * arrive at all daemons among sound requests that share their other segments and are on
+ * the crashing endpoints, too. A request that is answered clears its fingerprints of all
+ * earlier crashes. Of the fingerprints that remain, the most blamed one explains its
+ * crashes, which then no longer speak against those beside it. A fingerprint that is
+ * blamed wrongly loses that place as soon as the true one crashes endpoints without it.
  * <p>
  * Endpoints that crash at the same moment may have a cause outside their requests, and
- * repeated crashes at one address may be the fault of that instance. The former do not
- * implicate a segment that was answered before; the latter, like such an answer, need one
- * crash more. Stateless and thread-safe.
+ * repeated crashes at one address may be the fault of that instance. The former implicate
+ * neither a whole request, which may be under way at many endpoints, nor a segment that
+ * was answered before; the latter, like such an answer, need one crash more. Stateless
+ * and thread-safe.
  */
 public final class CrashAttribution {
 
-	/** The time of a segment that has never been answered. */
+	/** The time of a fingerprint that has never been answered. */
 	public static final long NEVER = Long.MIN_VALUE;
 
-	/** The crashes after which a segment is implicated. */
+	/** The crashes after which a fingerprint is implicated. */
 	static final int IMPLICATING_CRASHES = 3;
 
 	/** Crashes within this time may have a common cause outside the requests. */
 	static final long SIMULTANEOUS_MILLISECONDS = 250;
 
 	/**
-	 * The blame, in crashes, of a segment that was never answered: sound segments mostly
-	 * have been.
+	 * The blame, in crashes, of a fingerprint that was never answered: sound segments
+	 * mostly have been.
 	 */
 	private static final double NEVER_ANSWERED_BLAME = 1.5;
 
 	/**
-	 * The blame, in crashes, of each place further behind in the prompt: what stands
-	 * behind is shared by fewer sound requests.
+	 * The blame, in crashes, of each place further behind in the prompt, with the whole
+	 * request in the last place: what stands behind is shared by fewer sound requests.
 	 */
 	private static final double POSITION_BLAME = 1;
 
@@ -57,35 +58,37 @@
 	}
 
 	/**
-	 * Judges all segments.
+	 * Judges all fingerprints.
 	 * @param crashes the recent crashes, each run once
-	 * @param answeredAt returns when a request with a segment last began to be answered,
-	 * monotonic milliseconds, {@link #NEVER} if it never did
-	 * @return the verdicts on the segments that are suspected or implicated
+	 * @param answeredAt returns when a request with a fingerprint last began to be
+	 * answered, monotonic milliseconds, {@link #NEVER} if it never did
+	 * @return the verdicts on the fingerprints that are suspected or implicated
 	 */
 	public static Map<String, CrashVerdict> judge(Collection<EndpointCrash> crashes,
 			ToLongFunction<String> answeredAt) {
 		Map<String, Suspect> suspects = new HashMap<>();
 		for (EndpointCrash crash : crashes) {
-			crash.segments().forEach((segment, position) -> {
-				long answered = answeredAt.applyAsLong(segment);
+			crash.fingerprints().forEach((fingerprint, position) -> {
+				long answered = answeredAt.applyAsLong(fingerprint);
 				if (answered < crash.at()) {
-					suspects.computeIfAbsent(segment, (key) -> new Suspect(key, position, answered)).crashes.add(crash);
+					suspects.computeIfAbsent(fingerprint, (key) -> new Suspect(key, position, answered)).crashes
+						.add(crash);
 				}
 			});
 		}
+		suspects.values().removeIf((suspect) -> suspect.crashes.size() < IMPLICATING_CRASHES - 1);
 		Map<String, CrashVerdict> verdicts = new HashMap<>();
 		Suspect mostBlamed = findMostBlamed(suspects.values());
 		while (mostBlamed != null) {
-			suspects.remove(mostBlamed.segment);
-			verdicts.put(mostBlamed.segment, mostBlamed.implicate());
+			suspects.remove(mostBlamed.fingerprint);
+			verdicts.put(mostBlamed.fingerprint, mostBlamed.implicate());
 			Set<EndpointCrash> explained = new HashSet<>(mostBlamed.crashes);
 			suspects.values().forEach((suspect) -> suspect.crashes.removeIf(explained::contains));
 			mostBlamed = findMostBlamed(suspects.values());
 		}
 		for (Suspect suspect : suspects.values()) {
 			if (suspect.speaksAgainst(suspect.crashes, 1)) {
-				verdicts.put(suspect.segment, new CrashVerdict.Suspected(suspect.latestFirst()));
+				verdicts.put(suspect.fingerprint, new CrashVerdict.Suspected(suspect.latestFirst()));
 			}
 		}
 		return verdicts;
@@ -96,14 +99,14 @@
 			.filter((suspect) -> suspect.speaksAgainst(suspect.crashes, 0))
 			.max(Comparator.comparingDouble(Suspect::blame)
 				.thenComparing((suspect) -> suspect.position)
-				.thenComparing((suspect) -> suspect.segment))
+				.thenComparing((suspect) -> suspect.fingerprint))
 			.orElse(null);
 	}
 
-	/** A segment with the unexplained crashes since its last answer. */
+	/** A fingerprint with the unexplained crashes since its last answer. */
 	private static final class Suspect {
 
-		private final String segment;
+		private final String fingerprint;
 
 		private final int position;
 
@@ -111,8 +114,8 @@
 
 		private final List<EndpointCrash> crashes = new ArrayList<>();
 
-		private Suspect(String segment, int position, long answeredAt) {
-			this.segment = segment;
+		private Suspect(String fingerprint, int position, long answeredAt) {
+			this.fingerprint = fingerprint;
 			this.position = position;
 			this.answeredBefore = answeredAt != NEVER;
 		}
@@ -123,7 +126,7 @@
 		}
 
 		/**
-		 * Returns whether crashes implicate this segment.
+		 * Returns whether crashes implicate this fingerprint.
 		 * @param considered the crashes
 		 * @param spared how many fewer crashes than for an implication suffice
 		 * @return whether they suffice
@@ -136,7 +139,9 @@
 			}
 			long first = considered.stream().mapToLong(EndpointCrash::at).min().orElseThrow();
 			long last = considered.stream().mapToLong(EndpointCrash::at).max().orElseThrow();
-			return !this.answeredBefore || last - first > SIMULTANEOUS_MILLISECONDS;
+			boolean mayCoincide = !this.answeredBefore
+					&& (spared > 0 || !RequestFingerprint.isOfWholeRequest(this.fingerprint));
+			return mayCoincide || last - first > SIMULTANEOUS_MILLISECONDS;
 		}
 
 		private CrashVerdict.Implicated implicate() {
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashVerdict.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashVerdict.java
@@ -3,19 +3,18 @@
 import java.util.List;
 
 /**
- * What crashes of endpoints say about a segment of prompts. Implementations are
- * immutable.
+ * What crashes of endpoints say about a fingerprint. Implementations are immutable.
  */
 public sealed interface CrashVerdict {
 
 	/**
-	 * Returns the crashes that speak against the segment.
+	 * Returns the crashes that speak against the fingerprint.
 	 * @return the crashes, the latest first
 	 */
 	List<EndpointCrash> crashes();
 
 	/**
-	 * Endpoints crashed on requests with the segment, one too few to be sure.
+	 * Endpoints crashed on requests with the fingerprint, one too few to be sure.
 	 *
 	 * @param crashes the crashes, the latest first
 	 */
@@ -32,7 +31,7 @@
 	}
 
 	/**
-	 * Endpoints crash on requests with the segment, which must not be sent.
+	 * Endpoints crash on requests with the fingerprint, which must not be sent.
 	 *
 	 * @param crashes the crashes, the latest first
 	 * @param needed how many of them suffice for the verdict
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/EndpointCrash.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/EndpointCrash.java
@@ -10,24 +10,25 @@
  * @param run identifies the run of the endpoint, equal at all daemons
  * @param address the IP address and port of the endpoint
  * @param at when the requests broke, monotonic milliseconds
- * @param segments the shared segments of the prompts of these requests, each with its
- * position in its prompt
+ * @param fingerprints the shared segments of the prompts of these requests, each with its
+ * position in its prompt, and the {@linkplain RequestFingerprint whole requests} behind
+ * them
  */
-public record EndpointCrash(String run, String address, long at, Map<String, Integer> segments) {
+public record EndpointCrash(String run, String address, long at, Map<String, Integer> fingerprints) {
 
 	/** Creates a crash. */
 	public EndpointCrash {
-		segments = Map.copyOf(segments);
+		fingerprints = Map.copyOf(fingerprints);
 	}
 
 	/**
 	 * Combines two observations of the same run.
 	 * @param other the other observation
-	 * @return the earlier time with the segments of both
+	 * @return the earlier time with the fingerprints of both
 	 */
 	public EndpointCrash merge(EndpointCrash other) {
-		Map<String, Integer> all = new HashMap<>(this.segments);
-		other.segments.forEach((segment, position) -> all.merge(segment, position, Math::max));
+		Map<String, Integer> all = new HashMap<>(this.fingerprints);
+		other.fingerprints.forEach((fingerprint, position) -> all.merge(fingerprint, position, Math::max));
 		return new EndpointCrash(this.run, this.address, Math.min(this.at, other.at), all);
 	}
 
--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/package-info.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Decisions on segments of prompts that crash the endpoints that answer them.
+ * Decisions on requests that crash the endpoints that run them.
  */
 @NullMarked
 package org.masticshelf.kernel.quarantine;
--- a/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
@@ -18,14 +18,15 @@
 
 	/**
 	 * Parses crashes separated by blanks, each as its time, its address and its segments
-	 * in the order of the prompt: {@code 1000@a:system,deadly}.
+	 * in the order of the prompt, then the whole request:
+	 * {@code 1000@a:system,deadly,:request}.
 	 * @param text the text
 	 * @return the crashes
 	 */
 	private static List<EndpointCrash> crashes(String text) {
 		List<EndpointCrash> crashes = new ArrayList<>();
 		for (String crash : text.split(" ")) {
-			String[] parts = crash.split("[@:]");
+			String[] parts = crash.split("[@:]", 3);
 			Map<String, Integer> segments = new HashMap<>();
 			for (String segment : parts[2].split(",")) {
 				segments.put(segment, segments.size());
@@ -80,6 +81,15 @@
 			"simultaneous, answered before | 1000@a:p 1001@b:p 1002@c:p 1003@d:p | p@500 | ''",
 			"simultaneous, beside one more | 1000@a:p 1001@b:p 1300@c:p | p@500 | p",
 			"simultaneous, then once more | 1000@a:p 1001@b:p 1002@c:p 1300@d:p | p@500 | p!",
+			"whole request | 1000@a::w 2000@b::w 3000@c::w | '' | :w!",
+			"whole request, two crashes | 1000@a::w 2000@b::w | '' | :w",
+			"whole request, segments answered before | 1000@a:s,:w 2000@b:s,:w 3000@c:s,:w | s@900 | :w!",
+			"whole request, unknown segments | 1000@a:s,:w 2000@b:s,:w 3000@c:s,:w | '' | :w!",
+			"whole request, others on the same endpoints | 1000@a:s,:w,:x 2000@b:s,:w,:y 3000@c:s,:w,:z | '' | :w!",
+			"whole requests that share a segment | 1000@a:p,:w 2000@b:p,:x 3000@c:p,:w 4000@d:p,:y | '' | p!",
+			"whole request, answered since | 1000@a::w 2000@b::w 3000@c::w | :w@3000 | ''",
+			"whole request, simultaneous | 1000@a::w 1001@b::w 1250@c::w | '' | :w",
+			"whole request, simultaneous, then once more | 1000@a::w 1001@b::w 1250@c::w 1300@d::w | '' | :w!",
 			"one address | 1000@a:p 5000@a:p 9000@a:p | '' | p",
 			"one address, once more | 1000@a:p 5000@a:p 9000@a:p 13000@a:p | '' | p!" })
 	void attributesCrashesToSegments(String name, String crashes, String answers, String verdicts) {
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -231,7 +231,7 @@
 	}
 
 	private boolean hasSharedFindings() {
-		return this.components.quarantine().hasEvidence() || !this.components.limits().reports().isEmpty();
+		return this.components.quarantine().hasReports() || !this.components.limits().reports().isEmpty();
 	}
 
 	/**
@@ -332,7 +332,7 @@
 	 * @param rates the request rates of models
 	 * @param placement the placement, active while this daemon holds the duty
 	 * @param limits the limits that endpoints state
-	 * @param quarantine the segments of prompts that crash endpoints
+	 * @param quarantine what is known of requests that crash endpoints
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
 			EndpointDirectory directory, WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates,
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -32,8 +32,8 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.placement.Placement;
-import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.RequestContext;
 import org.masticshelf.serving.request.RequestForwarder;
@@ -109,7 +109,8 @@
 
 	private final UnservedRequests unserved = new UnservedRequests(this.clock);
 
-	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info, this::findingsChanged);
+	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info,
+			this::findingsChanged);
 
 	private final EndpointLimits endpointLimits;
 
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
@@ -99,7 +99,7 @@
 	 * @param decided the placement with all estimates, {@code null} unless this daemon
 	 * places
 	 * @param recentMessages the latest message of each peer
-	 * @param crashEvidence what this daemon knows about prompts that crash endpoints
+	 * @param crashEvidence what this daemon knows about requests that crash endpoints
 	 * @param evidencePeers the incarnations of the peers that are told so this time
 	 */
 	public record Details(@Nullable String placingPeer, List<PeerMessage.Waiting> waiting, Map<String, Double> rates,
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,7 +24,7 @@
  * placing daemon
  * @param placement the placement, {@code null} unless the sender is the placing daemon
  * @param limits the limits that endpoints state, by run of the endpoint
- * @param crashEvidence what it knows about prompts that crash endpoints; sent to a few
+ * @param crashEvidence what it knows about requests that crash endpoints; sent to a few
  * peers at a time
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
@@ -60,11 +61,11 @@
 	}
 
 	/**
-	 * What a daemon knows about prompts that crash endpoints.
+	 * What a daemon knows about requests that crash endpoints.
 	 *
 	 * @param crashes the crashes that it saw or learned from peers
-	 * @param answered how long ago it saw an answer to a request with a segment begin, in
-	 * milliseconds by segment
+	 * @param answered how long ago it saw an answer to a request with a fingerprint
+	 * begin, in milliseconds by fingerprint
 	 */
 	@JsonInclude(JsonInclude.Include.NON_EMPTY)
 	@JsonIgnoreProperties(ignoreUnknown = true)
@@ -84,15 +85,16 @@
 	 * @param run identifies the run of the endpoint
 	 * @param address the IP address and port of the endpoint
 	 * @param age how long ago it ended, in milliseconds
-	 * @param segments the positions of the shared segments of the prompts that broke with
-	 * it
+	 * @param fingerprints the positions of the shared segments of the prompts that broke
+	 * with it, and of the whole requests behind them
 	 */
 	@JsonIgnoreProperties(ignoreUnknown = true)
-	public record Crash(String run, String address, long age, Map<String, Integer> segments) {
+	public record Crash(String run, String address, long age,
+			@JsonProperty("segments") Map<String, Integer> fingerprints) {
 
 		/** Creates a crash in which missing parts are empty. */
 		public Crash {
-			segments = orEmpty(segments);
+			fingerprints = orEmpty(fingerprints);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
@@ -19,13 +19,13 @@
 import org.masticshelf.transport.json.Json;
 
 /**
- * Keeps the crashes that implicate segments in the key-value service, for the case that
+ * Keeps the crashes that implicate requests in the key-value service, for the case that
  * all daemons end at once and none is left to tell the others.
  * <p>
  * Designed for a loss of power while deadly requests go on: each daemon reads the record
- * once after its start, and one of them, which holds a duty, writes it when a segment is
- * newly implicated. Invariants: at most one call at a time and one a second; the record
- * is one bounded value. Called by one thread; answers may arrive on another. Thread-safe.
+ * once after its start, and one of them, which holds a duty, writes it when one is newly
+ * implicated. Invariants: at most one call at a time and one a second; the record is one
+ * bounded value. Called by one thread; answers may arrive on another. Thread-safe.
  */
 public final class QuarantineRecord {
 
@@ -126,7 +126,7 @@
 		long since = Math.max(0, this.wallClock.millis() - recorded.at());
 		List<PeerMessage.Crash> crashes = new ArrayList<>();
 		for (PeerMessage.Crash crash : recorded.crashes()) {
-			crashes.add(new PeerMessage.Crash(crash.run(), crash.address(), crash.age() + since, crash.segments()));
+			crashes.add(new PeerMessage.Crash(crash.run(), crash.address(), crash.age() + since, crash.fingerprints()));
 		}
 		PeerMessage.CrashEvidence evidence = new PeerMessage.CrashEvidence(crashes, Map.of());
 		this.recordedRuns = runsOf(evidence);
@@ -143,7 +143,7 @@
 	 * The value of the key.
 	 *
 	 * @param at when it was written, milliseconds of the wall clock
-	 * @param crashes the crashes that implicate segments, with their ages at that time
+	 * @param crashes the crashes that implicate requests, with their ages at that time
 	 */
 	private record Recorded(long at, List<PeerMessage.Crash> crashes) {
 	}
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/RequestFingerprints.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/RequestFingerprints.java
@@ -42,6 +42,14 @@
 		return result;
 	}
 
+	/**
+	 * Returns what requests with other bodies may share.
+	 * @return the segments in their order
+	 */
+	public List<String> segments() {
+		return this.request.sharedSegments();
+	}
+
 	/**
 	 * Returns all fingerprints, those that most requests share first.
 	 * @return the segments in their order, then the whole request
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
@@ -14,18 +14,21 @@
 import org.masticshelf.kernel.quarantine.CrashAttribution;
 import org.masticshelf.kernel.quarantine.CrashVerdict;
 import org.masticshelf.kernel.quarantine.EndpointCrash;
+import org.masticshelf.kernel.quarantine.RequestFingerprint;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
 
 /**
- * What this daemon and its peers know about segments of prompts that crash endpoints.
+ * What this daemon and its peers know about requests that crash endpoints: by the
+ * segments of their prompts, and each as a whole ("fingerprints").
  * <p>
  * Every daemon passes on all crashes and answers that it knows, so that one that starts
  * or was partitioned off learns them from any peer.
  * <p>
  * Invariants: a crash is forgotten after {@link #RETENTION_MILLISECONDS}; crashes,
- * segments and answers are bounded in number. Thread-safe.
+ * fingerprints and answers are bounded in number, segments and whole requests each for
+ * themselves. Thread-safe.
  */
 public final class RequestQuarantine {
 
@@ -34,26 +37,20 @@
 
 	private static final int MAXIMUM_CRASHES = 64;
 
-	private static final int MAXIMUM_SEGMENTS_PER_CRASH = 256;
+	private static final int MAXIMUM_FINGERPRINTS_PER_CRASH = 256;
 
-	private static final int MAXIMUM_ANSWERED_SEGMENTS = 4_096;
-
-	private static final int MAXIMUM_REPORTED_CRASHES = 24;
-
-	private static final int MAXIMUM_REPORTED_SEGMENTS_PER_CRASH = 32;
-
-	private static final int MAXIMUM_REPORTED_ANSWERS = 64;
+	private static final int MAXIMUM_ANSWERED_FINGERPRINTS = 4_096;
 
 	/**
 	 * How long all that is known of a crash is passed on, which is enough for all daemons
-	 * to learn it. Later only segments that are suspected are passed on.
+	 * to learn it. Later only fingerprints that are suspected are passed on.
 	 */
 	private static final long NEWS_MILLISECONDS = 5_000;
 
 	private static final long JUDGEMENT_INTERVAL_MILLISECONDS = 1_000;
 
 	/**
-	 * How long crashes must speak against a segment before its requests are refused,
+	 * How long crashes must speak against a fingerprint before its requests are refused,
 	 * within which peers report answers that clear it.
 	 */
 	private static final long CONFIRMATION_MILLISECONDS = 100;
@@ -71,9 +68,13 @@
 
 	private final Map<String, Long> answers = new AnswerTimes();
 
-	/** Segments whose answer a peer seems not to know, with the time of its message. */
+	/**
+	 * Fingerprints whose answer a peer seems not to know, with the time of its message.
+	 */
 	private final Map<String, Long> contestedAnswers = new AnswerTimes();
 
+	private final EvidenceSelection selection = new EvidenceSelection();
+
 	private Map<String, CrashVerdict> verdicts = Map.of();
 
 	private boolean judgementDue;
@@ -98,23 +99,32 @@
 
 	/**
 	 * Examines a request.
-	 * @param segments the shared segments of its prompt
+	 * @param request the fingerprints of the request
 	 * @return what speaks against it
 	 */
-	public synchronized Finding examine(List<String> segments) {
+	public Finding examine(RequestFingerprints request) {
+		return hasEvidence() ? examine(request.all()) : Finding.Clear.INSTANCE;
+	}
+
+	/**
+	 * Examines a request.
+	 * @param fingerprints its segments, then the whole request
+	 * @return what speaks against it
+	 */
+	public synchronized Finding examine(List<String> fingerprints) {
 		if (this.crashes.isEmpty()) {
 			return Finding.Clear.INSTANCE;
 		}
 		long now = this.clock.milliseconds();
 		judgeIfDue(now);
 		Finding gravest = Finding.Clear.INSTANCE;
-		for (String segment : segments) {
-			switch (this.verdicts.get(segment)) {
+		for (String fingerprint : fingerprints) {
+			switch (this.verdicts.get(fingerprint)) {
 				case CrashVerdict.Implicated verdict when now - verdict.since() >= CONFIRMATION_MILLISECONDS -> {
 					long until = verdict.decisive().at() + RETENTION_MILLISECONDS;
-					return new Finding.Quarantined(segment, verdict.crashes().size(), Math.max(1, until - now));
+					return new Finding.Quarantined(fingerprint, verdict.crashes().size(), Math.max(1, until - now));
 				}
-				case CrashVerdict verdict -> gravest = new Finding.Suspected(segment, verdict.crashes().size());
+				case CrashVerdict verdict -> gravest = new Finding.Suspected(fingerprint, verdict.crashes().size());
 				case null -> {
 				}
 			}
@@ -125,16 +135,25 @@
 	/**
 	 * Records that an endpoint broke off a request that it had just been given.
 	 * @param endpoint the endpoint
-	 * @param segments the shared segments of the prompt
+	 * @param request the fingerprints of the request
 	 */
-	public synchronized void recordCrash(ServedEndpoint endpoint, List<String> segments) {
-		if (segments.isEmpty()) {
+	public void recordCrash(ServedEndpoint endpoint, RequestFingerprints request) {
+		recordCrash(endpoint, request.all());
+	}
+
+	/**
+	 * Records that an endpoint broke off a request that it had just been given.
+	 * @param endpoint the endpoint
+	 * @param fingerprints the segments of the request, then the whole request
+	 */
+	public synchronized void recordCrash(ServedEndpoint endpoint, List<String> fingerprints) {
+		if (fingerprints.isEmpty()) {
 			return;
 		}
 		long now = this.clock.milliseconds();
 		Map<String, Integer> positions = new HashMap<>();
-		for (int position = 0; position < segments.size(); position++) {
-			positions.put(segments.get(position), position);
+		for (int position = 0; position < fingerprints.size(); position++) {
+			positions.put(fingerprints.get(position), position);
 		}
 		this.ownCrashes++;
 		String run = endpoint.identifier() + "/" + endpoint.startedAt();
@@ -145,16 +164,20 @@
 
 	/**
 	 * Records that a request was answered without harm to its endpoint, which clears its
-	 * segments of earlier crashes.
-	 * @param segments the shared segments of the prompt
+	 * fingerprints of earlier crashes. Without a crash only its segments are noted.
+	 * @param request the fingerprints of the request
 	 * @param begunAt when the answer began, monotonic milliseconds
 	 */
-	public synchronized void recordAnswer(List<String> segments, long begunAt) {
-		for (String segment : segments) {
-			long before = answeredAt(segment);
+	public void recordAnswer(RequestFingerprints request, long begunAt) {
+		recordAnswer(hasEvidence() ? request.all() : request.segments(), begunAt);
+	}
+
+	synchronized void recordAnswer(List<String> fingerprints, long begunAt) {
+		for (String fingerprint : fingerprints) {
+			long before = answeredAt(fingerprint);
 			if (begunAt > before) {
-				this.answers.put(segment, begunAt);
-				noteAnswer(segment, before, begunAt);
+				this.answers.put(fingerprint, begunAt);
+				noteAnswer(fingerprint, before, begunAt);
 			}
 		}
 	}
@@ -169,18 +192,18 @@
 		for (PeerMessage.Crash crash : evidence.crashes()) {
 			long at = now - Math.max(0, crash.age());
 			if (now - at < RETENTION_MILLISECONDS
-					&& add(new EndpointCrash(crash.run(), crash.address(), at, crash.segments()))) {
+					&& add(new EndpointCrash(crash.run(), crash.address(), at, crash.fingerprints()))) {
 				this.judgementDue = true;
 				this.log.accept(Event.named("quarantine.crash_learned")
 					.with("peer", peer)
 					.with("run", crash.run())
 					.with("age_ms", crash.age())
-					.with("segments", crash.segments().keySet()));
+					.with("fingerprints", crash.fingerprints().keySet()));
 			}
 			long knownAt = this.crashes.containsKey(crash.run()) ? this.crashes.get(crash.run()).at() : at;
-			for (String segment : crash.segments().keySet()) {
-				if (answeredAt(segment) >= knownAt && now - knownAt >= NEWS_MILLISECONDS) {
-					this.contestedAnswers.put(segment, now);
+			for (String fingerprint : crash.fingerprints().keySet()) {
+				if (answeredAt(fingerprint) >= knownAt && now - knownAt >= NEWS_MILLISECONDS) {
+					this.contestedAnswers.put(fingerprint, now);
 				}
 			}
 		}
@@ -197,63 +220,88 @@
 
 	/**
 	 * Returns what peers are told.
-	 * @return the crashes with segments that have not been answered since, the gravest
-	 * first, and the answers to segments of recent crashes
+	 * @return the crashes with fingerprints that have not been answered since, the
+	 * gravest first, and the answers to fingerprints of recent crashes
 	 */
 	public synchronized PeerMessage.CrashEvidence evidence() {
 		long now = this.clock.milliseconds();
 		judgeIfDue(now);
-		Map<String, Long> answered = new HashMap<>();
-		List<PeerMessage.Crash> reported = new ArrayList<>();
+		List<EndpointCrash> open = new ArrayList<>();
+		Map<String, Long> answered = new LinkedHashMap<>();
+		Set<String> repeated = repeatedRequests();
 		for (EndpointCrash crash : gravestFirst()) {
 			boolean recent = now - crash.at() < NEWS_MILLISECONDS;
-			Map<String, Integer> open = new HashMap<>();
-			crash.segments().forEach((segment, position) -> {
-				long answeredAt = answeredAt(segment);
-				if (answeredAt < crash.at() && (recent || this.verdicts.containsKey(segment))) {
-					open.put(segment, position);
+			Map<String, Integer> unanswered = new HashMap<>();
+			crash.fingerprints().forEach((fingerprint, position) -> {
+				long answeredAt = answeredAt(fingerprint);
+				if (answeredAt < crash.at() && (recent || this.verdicts.containsKey(fingerprint))) {
+					unanswered.put(fingerprint, position);
 				}
-				boolean wanted = recent || this.contestedAnswers.containsKey(segment);
-				if (answeredAt != CrashAttribution.NEVER && wanted && answered.size() < MAXIMUM_REPORTED_ANSWERS) {
-					answered.put(segment, now - answeredAt);
+				boolean concerns = !RequestFingerprint.isOfWholeRequest(fingerprint) || repeated.contains(fingerprint);
+				boolean wanted = (recent && concerns) || this.contestedAnswers.containsKey(fingerprint);
+				if (answeredAt != CrashAttribution.NEVER && wanted) {
+					answered.put(fingerprint, now - answeredAt);
 				}
 			});
-			if (!open.isEmpty() && reported.size() < MAXIMUM_REPORTED_CRASHES) {
-				reported.add(new PeerMessage.Crash(crash.run(), crash.address(), now - crash.at(),
-						longestUnanswered(open, MAXIMUM_REPORTED_SEGMENTS_PER_CRASH)));
+			if (!unanswered.isEmpty()) {
+				open.add(new EndpointCrash(crash.run(), crash.address(), crash.at(), unanswered));
 			}
 		}
-		return new PeerMessage.CrashEvidence(reported, answered);
+		return this.selection.select(open, answered, this.verdicts.keySet(), this::answeredAt, now);
+	}
+
+	// A request that is on a single crash needs no clearing, and most of them are.
+	private Set<String> repeatedRequests() {
+		Set<String> seen = new HashSet<>();
+		Set<String> repeated = new HashSet<>();
+		for (EndpointCrash crash : this.crashes.values()) {
+			for (String fingerprint : crash.fingerprints().keySet()) {
+				if (RequestFingerprint.isOfWholeRequest(fingerprint) && !seen.add(fingerprint)) {
+					repeated.add(fingerprint);
+				}
+			}
+		}
+		return repeated;
 	}
 
 	/**
-	 * Returns the crashes that implicate segments, with these segments only.
-	 * @return the evidence, empty if no segment is implicated
+	 * Returns the crashes that implicate fingerprints, with these only.
+	 * @return the evidence, empty if none is implicated
 	 */
 	public synchronized PeerMessage.CrashEvidence implicatingEvidence() {
 		long now = this.clock.milliseconds();
 		judgeIfDue(now);
-		List<PeerMessage.Crash> implicating = new ArrayList<>();
+		List<EndpointCrash> implicating = new ArrayList<>();
 		for (EndpointCrash crash : gravestFirst()) {
-			Map<String, Integer> segments = new HashMap<>(crash.segments());
-			segments.keySet()
-				.removeIf((segment) -> !(this.verdicts.get(segment) instanceof CrashVerdict.Implicated)
-						|| answeredAt(segment) >= crash.at());
-			if (!segments.isEmpty() && implicating.size() < MAXIMUM_REPORTED_CRASHES) {
-				implicating.add(new PeerMessage.Crash(crash.run(), crash.address(), now - crash.at(), segments));
+			Map<String, Integer> fingerprints = new HashMap<>(crash.fingerprints());
+			fingerprints.keySet()
+				.removeIf((fingerprint) -> !(this.verdicts.get(fingerprint) instanceof CrashVerdict.Implicated)
+						|| answeredAt(fingerprint) >= crash.at());
+			if (!fingerprints.isEmpty()) {
+				implicating.add(new EndpointCrash(crash.run(), crash.address(), crash.at(), fingerprints));
 			}
 		}
-		return new PeerMessage.CrashEvidence(implicating, Map.of());
+		return this.selection.select(implicating, Map.of(), this.verdicts.keySet(), this::answeredAt, now);
 	}
 
 	/**
-	 * Returns whether there is anything to tell peers.
-	 * @return whether any crash is known
+	 * Returns whether any crash is known.
+	 * @return whether one is known
 	 */
 	public synchronized boolean hasEvidence() {
 		return !this.crashes.isEmpty();
 	}
 
+	/**
+	 * Returns whether there is anything to tell peers.
+	 * @return whether there is
+	 */
+	public synchronized boolean hasReports() {
+		long now = this.clock.milliseconds();
+		return !this.verdicts.isEmpty() || !this.contestedAnswers.isEmpty()
+				|| this.crashes.values().stream().anyMatch((crash) -> now - crash.at() < NEWS_MILLISECONDS);
+	}
+
 	/**
 	 * Returns whether there is news for peers since the last call.
 	 * @return whether crashes or answers were added
@@ -265,7 +313,7 @@
 	}
 
 	/**
-	 * Returns the number of segments to which crashes are attributed.
+	 * Returns the number of fingerprints to which crashes are attributed.
 	 * @return the number
 	 */
 	public synchronized int size() {
@@ -284,7 +332,7 @@
 	private List<EndpointCrash> gravestFirst() {
 		Set<EndpointCrash> grave = new HashSet<>();
 		for (EndpointCrash crash : this.crashes.values()) {
-			if (crash.segments().keySet().stream().anyMatch(this.verdicts::containsKey)) {
+			if (crash.fingerprints().keySet().stream().anyMatch(this.verdicts::containsKey)) {
 				grave.add(crash);
 			}
 		}
@@ -299,7 +347,7 @@
 		EndpointCrash known = this.crashes.get(crash.run());
 		EndpointCrash merged = (known != null) ? known.merge(crash) : crash;
 		merged = new EndpointCrash(merged.run(), merged.address(), merged.at(),
-				longestUnanswered(merged.segments(), MAXIMUM_SEGMENTS_PER_CRASH));
+				EvidenceSelection.bound(merged.fingerprints(), MAXIMUM_FINGERPRINTS_PER_CRASH, this::answeredAt));
 		if (merged.equals(known)) {
 			return false;
 		}
@@ -307,49 +355,36 @@
 		if (this.crashes.size() > MAXIMUM_CRASHES) {
 			this.crashes.remove(gravestFirst().getLast().run());
 		}
-		boolean isNews = known == null || !merged.segments().equals(known.segments());
+		boolean isNews = known == null || !merged.fingerprints().equals(known.fingerprints());
 		if (isNews) {
 			announce();
 		}
 		return isNews;
 	}
 
-	private Map<String, Integer> longestUnanswered(Map<String, Integer> segments, int limit) {
-		if (segments.size() <= limit) {
-			return segments;
-		}
-		Map<String, Integer> kept = new HashMap<>();
-		segments.keySet()
-			.stream()
-			.sorted(Comparator.comparingLong(this::answeredAt).thenComparing(Comparator.naturalOrder()))
-			.limit(limit)
-			.forEach((segment) -> kept.put(segment, segments.get(segment)));
-		return kept;
-	}
-
 	private void announce() {
 		this.changed = true;
 		this.listener.run();
 	}
 
-	private void noteAnswer(String segment, long before, long answeredAt) {
+	private void noteAnswer(String fingerprint, long before, long answeredAt) {
 		boolean clears = this.crashes.values()
 			.stream()
 			.anyMatch((crash) -> before < crash.at() && crash.at() <= answeredAt
-					&& crash.segments().containsKey(segment));
+					&& crash.fingerprints().containsKey(fingerprint));
 		this.judgementDue |= clears;
-		// Answers to other segments reach the peers with the regular messages.
-		if (clears && this.verdicts.containsKey(segment)) {
+		// Answers to other fingerprints reach the peers with the regular messages.
+		if (clears && this.verdicts.containsKey(fingerprint)) {
 			announce();
 		}
 	}
 
-	private long answeredAt(String segment) {
-		return this.answers.getOrDefault(segment, CrashAttribution.NEVER);
+	private long answeredAt(String fingerprint) {
+		return this.answers.getOrDefault(fingerprint, CrashAttribution.NEVER);
 	}
 
 	private boolean isExplained(EndpointCrash crash) {
-		return crash.segments().keySet().stream().allMatch((segment) -> answeredAt(segment) >= crash.at());
+		return crash.fingerprints().keySet().stream().allMatch((fingerprint) -> answeredAt(fingerprint) >= crash.at());
 	}
 
 	private void forgetOld(long now) {
@@ -371,37 +406,37 @@
 		Map<String, CrashVerdict> before = this.verdicts;
 		this.verdicts = this.crashes.isEmpty() ? Map.of()
 				: CrashAttribution.judge(this.crashes.values(), this::answeredAt);
-		this.verdicts.forEach((segment, verdict) -> {
-			CrashVerdict known = before.get(segment);
+		this.verdicts.forEach((fingerprint, verdict) -> {
+			CrashVerdict known = before.get(fingerprint);
 			if (known == null || known.getClass() != verdict.getClass()) {
-				logVerdict(segment, verdict, now);
+				logVerdict(fingerprint, verdict, now);
 			}
 		});
-		before.forEach((segment, verdict) -> {
-			if (!this.verdicts.containsKey(segment)) {
+		before.forEach((fingerprint, verdict) -> {
+			if (!this.verdicts.containsKey(fingerprint)) {
 				this.log.accept(Event.named("quarantine.cleared")
-					.with("segment", segment)
+					.with("fingerprint", fingerprint)
 					.with("was_implicated", verdict instanceof CrashVerdict.Implicated)
-					.with("answered_before_ms", sinceAnswer(segment, now)));
+					.with("answered_before_ms", sinceAnswer(fingerprint, now)));
 			}
 		});
 	}
 
-	private void logVerdict(String segment, CrashVerdict verdict, long now) {
+	private void logVerdict(String fingerprint, CrashVerdict verdict, long now) {
 		List<String> evidence = verdict.crashes()
 			.stream()
 			.map((crash) -> crash.run() + " " + (now - crash.at()) + " ms ago")
 			.toList();
-		this.log.accept(
-				Event.named((verdict instanceof CrashVerdict.Implicated) ? "quarantine.implicated" : "quarantine.suspected")
-					.with("segment", segment)
-					.with("crashes", verdict.crashes().size())
-					.with("answered_before_ms", sinceAnswer(segment, now))
-					.with("evidence", evidence));
+		this.log.accept(Event
+			.named((verdict instanceof CrashVerdict.Implicated) ? "quarantine.implicated" : "quarantine.suspected")
+			.with("fingerprint", fingerprint)
+			.with("crashes", verdict.crashes().size())
+			.with("answered_before_ms", sinceAnswer(fingerprint, now))
+			.with("evidence", evidence));
 	}
 
-	private long sinceAnswer(String segment, long now) {
-		long answeredAt = answeredAt(segment);
+	private long sinceAnswer(String fingerprint, long now) {
+		long answeredAt = answeredAt(fingerprint);
 		return (answeredAt != CrashAttribution.NEVER) ? now - answeredAt : -1;
 	}
 
@@ -419,26 +454,26 @@
 		/**
 		 * The request may be sent once, but not repeated after it broke with an endpoint.
 		 *
-		 * @param segment a suspected segment
+		 * @param fingerprint what is suspected
 		 * @param crashes the number of crashes
 		 */
-		record Suspected(String segment, int crashes) implements Finding {
+		record Suspected(String fingerprint, int crashes) implements Finding {
 		}
 
 		/**
 		 * The request must not be sent.
 		 *
-		 * @param segment the segment to which crashes are attributed
+		 * @param fingerprint that to which crashes are attributed
 		 * @param crashes the number of crashes
 		 * @param remainingMilliseconds how long the quarantine lasts unless endpoints
 		 * crash again
 		 */
-		record Quarantined(String segment, int crashes, long remainingMilliseconds) implements Finding {
+		record Quarantined(String fingerprint, int crashes, long remainingMilliseconds) implements Finding {
 		}
 
 	}
 
-	/** Times by segment, of which the least recently used are forgotten. */
+	/** Times by fingerprint, of which the least recently used are forgotten. */
 	private static final class AnswerTimes extends LinkedHashMap<String, Long> {
 
 		private static final long serialVersionUID = 1L;
@@ -449,7 +484,7 @@
 
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-			return size() > MAXIMUM_ANSWERED_SEGMENTS;
+			return size() > MAXIMUM_ANSWERED_FINGERPRINTS;
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/package-info.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Segments of prompts whose requests are refused because they crash endpoints.
+ * Requests that are refused because they, or others like them, crash endpoints.
  */
 @NullMarked
 package org.masticshelf.serving.quarantine;
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -11,6 +11,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.kernel.serving.ServedTables;
+import org.masticshelf.serving.quarantine.RequestFingerprints;
 import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 
 /**
@@ -36,17 +37,22 @@
 
 	private final ServedRequest request;
 
+	private final RequestFingerprints fingerprints;
+
 	private final Function<String, Event> events;
 
 	/**
 	 * Creates the admission of one request.
 	 * @param context the dependencies that all requests share
 	 * @param request the request
+	 * @param fingerprints the fingerprints of the request
 	 * @param events creates an event of the request from its name
 	 */
-	Admission(RequestContext context, ServedRequest request, Function<String, Event> events) {
+	Admission(RequestContext context, ServedRequest request, RequestFingerprints fingerprints,
+			Function<String, Event> events) {
 		this.context = context;
 		this.request = request;
+		this.fingerprints = fingerprints;
 		this.events = events;
 	}
 
@@ -76,10 +82,10 @@
 		if (pool == null) {
 			return new Refused(SERVICE_UNAVAILABLE, "no_pool", RETRY_AFTER_UNCONFIGURED_MILLISECONDS);
 		}
-		if (this.context.quarantine().examine(this.request.sharedSegments()) instanceof Finding.Quarantined finding) {
+		if (this.context.quarantine().examine(this.fingerprints) instanceof Finding.Quarantined finding) {
 			this.context.log()
 				.accept(this.events.apply("request.quarantined")
-					.with("segment", finding.segment())
+					.with("fingerprint", finding.fingerprint())
 					.with("crashes", finding.crashes()));
 			return new Refused(SERVICE_UNAVAILABLE, "request_quarantined", finding.remainingMilliseconds());
 		}
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -15,8 +15,8 @@
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.caller.CallerChannel;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
-import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.serving.quarantine.RequestFingerprints;
+import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
@@ -118,7 +118,7 @@
 			refuse(SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE_MILLISECONDS);
 			return;
 		}
-		switch (new Admission(this.context, this.request, this::event).decide()) {
+		switch (new Admission(this.context, this.request, this.fingerprints, this::event).decide()) {
 			case Admission.Refused refused ->
 				refuse(refused.status(), refused.reason(), refused.retryAfterMilliseconds());
 			case Admission.Admitted accepted -> {
@@ -134,10 +134,6 @@
 			if (endpoint == null) {
 				return;
 			}
-			if (examinePrompt() instanceof Finding.Quarantined finding) {
-				giveUpQuarantined(finding);
-				return;
-			}
 			if (!this.context.endpointLimits().tryTake(endpoint)) {
 				continue;
 			}
@@ -168,6 +164,10 @@
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
 				}
+				if (examineRequest() instanceof Finding.Quarantined finding) {
+					giveUpQuarantined(finding);
+					return null;
+				}
 				EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(),
 						admitted().pool().engine());
 				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
@@ -345,7 +345,7 @@
 			recordFailure(endpoint, lost.reason());
 		}
 		if (lost.kind() == ExchangeResult.Lost.Kind.DISCONNECTED && answeringMilliseconds() < HARMLESS_MILLISECONDS) {
-			this.context.quarantine().recordCrash(endpoint, this.request.sharedSegments());
+			this.context.quarantine().recordCrash(endpoint, this.fingerprints);
 		}
 		if (remaining() > ANSWER_START_MILLISECONDS && mayRetry() && this.context.retries().tryTake(pool())) {
 			return true;
@@ -376,7 +376,7 @@
 
 	private boolean mayRetry() {
 		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts()
-				&& (this.harmless || examinePrompt() instanceof Finding.Clear);
+				&& (this.harmless || examineRequest() instanceof Finding.Clear);
 	}
 
 	private void giveUpWithoutEndpoint(long retryAfter, long readyInMilliseconds) {
@@ -408,13 +408,14 @@
 		}
 	}
 
-	private Finding examinePrompt() {
-		return this.context.quarantine().examine(this.request.sharedSegments());
+	private Finding examineRequest() {
+		return this.context.quarantine().examine(this.fingerprints);
 	}
 
 	private void giveUpQuarantined(Finding.Quarantined finding) {
 		this.context.log()
-			.accept(event("request.quarantined").with("segment", finding.segment()).with("crashes", finding.crashes()));
+			.accept(event("request.quarantined").with("fingerprint", finding.fingerprint())
+				.with("crashes", finding.crashes()));
 		if (this.mayHaveRun || this.relay.isStarted()) {
 			giveUpAfterFailure(true);
 			return;
@@ -426,7 +427,7 @@
 	/** Records that the current answer has not harmed its endpoint. */
 	private void recordHarmless() {
 		this.context.quarantine()
-			.recordAnswer(this.request.sharedSegments(),
+			.recordAnswer(this.fingerprints,
 					this.context.clock().milliseconds() - Math.max(0, answeringMilliseconds()));
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -32,7 +32,7 @@
  * @param retries the retry budgets
  * @param peers the latest messages of peers
  * @param endpointLimits the limits that endpoints state
- * @param quarantine the segments of prompts that crash endpoints
+ * @param quarantine what is known of requests that crash endpoints
  * @param failureDomain the failure domain of this daemon
  * @param stopPhase returns the current phase of a planned stop
  * @param clock the clock
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -48,14 +48,14 @@
 	}
 
 	/**
-	 * Registers the metrics of segments of prompts that crash endpoints.
+	 * Registers the metrics of requests that crash endpoints.
 	 * @param registry the registry
 	 * @param quarantine the source of the values
 	 */
 	public static void registerQuarantine(PrometheusRegistry registry, RequestQuarantine quarantine) {
 		GaugeWithCallback.builder()
 			.name("masticshelf_serving_quarantined_fingerprints")
-			.help("Segments of prompts whose requests are refused because they crash endpoints.")
+			.help("Segments of prompts and whole requests that are refused because they crash endpoints.")
 			.callback((callback) -> callback.call(quarantine.size()))
 			.register(registry);
 		CounterWithCallback.builder()
--- a/serving/src/test/java/org/masticshelf/serving/quarantine/RequestQuarantineTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/quarantine/RequestQuarantineTests.java
@@ -1,5 +1,6 @@
 package org.masticshelf.serving.quarantine;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -15,7 +16,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.quarantine.RequestFingerprint;
 import org.masticshelf.kernel.serving.ServedEndpoint;
+import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
@@ -68,6 +71,11 @@
 		this.clock.advance(Duration.ofMillis(100));
 	}
 
+	private static String request(int number) {
+		return RequestFingerprint.of(new ServedRequest("r", "POST", "/a", "host", null, 2_000, null, -1, -1, "",
+				List.of(), null, List.of(), ByteBuffer.allocate(4).putInt(number).array()));
+	}
+
 	private boolean isQuarantined(RequestQuarantine quarantine, String... segments) {
 		return quarantine.examine(List.of(segments)) instanceof Finding.Quarantined;
 	}
@@ -193,37 +201,77 @@
 	void evidenceIsBounded() {
 		for (int endpoint = 0; endpoint < 500; endpoint++) {
 			int number = endpoint;
-			crash(this.here, endpoint,
-					IntStream.range(0, 300)
-						.mapToObj((segment) -> "segment-" + number + "-" + segment)
-						.toArray(String[]::new));
-			this.here.recordAnswer(List.of("segment-" + endpoint + "-0"), this.clock.milliseconds() + 1);
+			crash(this.here, endpoint, IntStream.range(0, 300)
+				.mapToObj((segment) -> (segment % 2 == 0) ? "%064d-%d".formatted(segment, number).substring(0, 64)
+						: request(300 * number + segment))
+				.toArray(String[]::new));
+			this.here.recordAnswer(List.of("%064d".formatted(endpoint % 300)), this.clock.milliseconds() + 1);
 		}
 		Truth.assertThat(Json.toBytes(this.here.evidence()).length).isLessThan(MAXIMUM_DATAGRAM_BYTES);
 	}
 
+	/** Requests that are new with each crash must not keep each other from being told. */
+	@Test
+	void allRequestsOfCrashesAreToldByTurns() {
+		for (int endpoint = 0; endpoint < 6; endpoint++) {
+			int number = endpoint;
+			this.here.recordCrash(endpoint(endpoint),
+					IntStream.range(0, 100).mapToObj((request) -> request(100 * number + request)).toList());
+		}
+		Set<String> told = new HashSet<>();
+		for (int message = 0; message < 30; message++) {
+			this.here.evidence().crashes().forEach((crash) -> told.addAll(crash.fingerprints().keySet()));
+		}
+		Truth.assertThat(told).hasSize(600);
+	}
+
+	/** Segments and requests each have a share of what is told of a crash. */
+	@Test
+	void manyRequestsOfOneCrashDoNotDisplaceItsSegments() {
+		List<String> fingerprints = new ArrayList<>(
+				IntStream.range(0, 500).mapToObj((number) -> request(number)).toList());
+		fingerprints.add("deadly");
+		this.here.recordAnswer(List.of("deadly"), this.clock.milliseconds());
+		crash(this.here, 1, fingerprints.toArray(String[]::new));
+		Truth.assertThat(this.here.evidence().crashes().getFirst().fingerprints()).containsKey("deadly");
+	}
+
+	@Test
+	void crashOfOneRequestIsNotToldForever() {
+		crash(this.here, 1, request(1));
+		Truth.assertThat(this.here.hasReports()).isTrue();
+		this.clock.advance(Duration.ofSeconds(5));
+		Truth.assertThat(this.here.hasReports()).isFalse();
+		Truth.assertThat(this.here.hasEvidence()).isTrue();
+	}
+
 	/**
 	 * Checks a fleet in which each daemon sees a few of the crashes only, by the rules
-	 * that the users state: from three seconds after the fifth crash at most three
-	 * requests with a deadly segment are sent, and from six seconds after it at least
-	 * half of the sound requests are served.
+	 * that the users state: from three seconds after the fifth crash by a deadly segment,
+	 * or the third by a deadly request, at most three of them are sent, and from six
+	 * seconds after the fifth at least half of the sound requests are served.
 	 * @param daemons the number of daemons
 	 * @param deadlyShare the share of deadly requests
-	 * @param deadlySegments the number of deadly segments
+	 * @param deadlySegments the number of deadly segments, negative for deadly requests
+	 * that hold sound segments
+	 * @param counted the crashes by one segment or request after which those count that
+	 * are late
 	 * @param seeds the number of seeds
 	 */
 	@ParameterizedTest
-	@CsvSource({ "4, 0.05, 1, 50", "4, 0.3, 1, 50", "4, 0.1, 3, 50", "39, 0.05, 1, 10", "39, 0.2, 3, 10" })
+	@CsvSource({ "4, 0.05, 1, 5, 50", "4, 0.3, 1, 5, 50", "4, 0.1, 3, 5, 50", "39, 0.05, 1, 5, 10", "39, 0.2, 3, 5, 10",
+			"4, 0.05, -1, 3, 50", "4, 0.3, -1, 3, 50", "4, 0.1, -3, 3, 50", "39, 0.05, -1, 3, 10",
+			"39, 0.2, -3, 3, 10" })
 	void deadlySegmentsReachFewEndpointsAndSoundOnesAreServed(int daemons, double deadlyShare, int deadlySegments,
-			int seeds) {
+			int counted, int seeds) {
 		for (int seed = 0; seed < seeds; seed++) {
-			Fleet fleet = new Fleet(daemons, deadlySegments, new Random(seed));
+			Fleet fleet = new Fleet(daemons, Math.abs(deadlySegments), deadlySegments < 0, new Random(seed));
 			for (int request = 0; request < 2_000; request++) {
 				fleet.request(deadlyShare);
 			}
 			for (List<Long> crashes : fleet.crashes) {
-				Truth.assertWithMessage("late crashes by one segment, seed %s", seed)
-					.that(crashes.stream().skip(5).filter((at) -> at > crashes.get(4) + 3_000).count())
+				Truth.assertWithMessage("late crashes by one segment or request, seed %s", seed)
+					.that(crashes.stream().skip(counted).filter((at) -> at > crashes.get(counted - 1) + 3_000).count())
 					.isAtMost(3);
 			}
 			Truth.assertWithMessage("of %s sound requests refused, seed %s", fleet.lateSound, seed)
@@ -260,8 +308,13 @@
 
 		private int runs;
 
-		private Fleet(int daemons, int deadlySegments, Random random) {
+		private final boolean wholeRequests;
+
+		private int requests;
+
+		private Fleet(int daemons, int deadlySegments, boolean wholeRequests, Random random) {
 			this.random = random;
+			this.wholeRequests = wholeRequests;
 			IntStream.range(0, deadlySegments).forEach((segment) -> this.crashes.add(new ArrayList<>()));
 			for (int daemon = 0; daemon < daemons; daemon++) {
 				this.daemons.add(quarantine());
@@ -275,9 +328,15 @@
 		private List<String> prompt(int deadlySegment) {
 			List<String> segments = new ArrayList<>(
 					List.of("system-" + this.random.nextInt(2), "subject-" + this.random.nextInt(40)));
+			if (deadlySegment >= 0 && this.wholeRequests) {
+				// It is the same in all its parts.
+				return List.of("system-0", "subject-" + deadlySegment,
+						RequestQuarantineTests.request(-1 - deadlySegment));
+			}
 			if (deadlySegment >= 0) {
 				segments.add(this.random.nextInt(3), "deadly-" + deadlySegment);
 			}
+			segments.add(RequestQuarantineTests.request(++this.requests));
 			return segments;
 		}
 
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -15,7 +15,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -81,6 +80,9 @@
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, () -> {
 	});
 
+	/** No two requests with a prompt are alike. */
+	private int prompts;
+
 	private final MonotonicClock.Manual quarantineClock = new MonotonicClock.Manual();
 
 	private final RequestQuarantine quarantine = new RequestQuarantine(this.quarantineClock, this::log, () -> {
@@ -569,7 +571,6 @@
 	}
 
 	/** Guards against one request crashing endpoint after endpoint (BUDGET). */
-	@Tag("known-red")
 	@ParameterizedTest
 	@CsvSource({ "true, system", "true, ''", "false, ''" })
 	void requestThatCrashedThreeEndpointsReachesNoFurtherOne(boolean streamed, String segment) throws IOException {
@@ -589,14 +590,19 @@
 		Truth.assertThat(forward(request(model, null, segments, "sound")).status()).isEqualTo(200);
 	}
 
-	/** A repeat crashes the next engine if the prompt is what crashed the first ones. */
+	/**
+	 * A repeat crashes the next endpoint if the request is what crashed the first ones.
+	 * @param segment the segment of its prompt, if any
+	 * @param end how endpoints end the exchange
+	 * @param sends how often it is sent
+	 */
 	@ParameterizedTest
-	@CsvSource({ "deadly, 2", "'', 4" })
-	void requestIsNotRepeatedAfterItCrashedTwoEngines(String segment, int sends) throws IOException {
+	@CsvSource({ "deadly, <close>, 2", "'', <close>, 2", "'', rubbish~~, 4" })
+	void requestIsNotRepeatedAfterItCrashedTwoEngines(String segment, String end, int sends) throws IOException {
 		route(Execution.REPEATABLE, 4, engine(), List.of());
 		List<ServedEndpoint> crashing = new ArrayList<>();
 		for (String name : List.of("a", "b", "c", "d")) {
-			crashing.add(endpoint(name, "<close>").toEndpoint("m"));
+			crashing.add(endpoint(name, end.replace("~", "\r\n")).toEndpoint("m"));
 		}
 		list(crashing.toArray(ServedEndpoint[]::new));
 		RecordingCaller segmentCaller = new RecordingCaller();
@@ -705,7 +711,8 @@
 	}
 
 	private RecordingCaller forward(String... segments) {
-		return forward(request(LoadableName.ofModel("m"), null, List.of(segments)));
+		String body = "request " + ++this.prompts;
+		return forward(request(LoadableName.ofModel("m"), null, List.of(segments), body));
 	}
 
 	private RecordingCaller forward(ServedRequest request) {
