--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -47,13 +47,19 @@
 	private static final double NEVER_ANSWERED_BLAME = 1.5;
 
 	/**
-	 * The blame, in crashes, of each place further behind in the prompt, with the whole
-	 * request in the last place: what stands behind is shared by fewer sound requests.
+	 * The blame, in crashes, of each place further behind in the prompt: what stands
+	 * behind is shared by fewer sound requests.
 	 */
 	private static final double POSITION_BLAME = 1;
 
 	private static final int MAXIMUM_BLAMED_POSITION = 3;
 
+	/**
+	 * The blame, in crashes, of a whole request: no sound request shares it, but a
+	 * segment that was never answered explains the crashes of its other requests, too.
+	 */
+	private static final double WHOLE_REQUEST_BLAME = 1;
+
 	private CrashAttribution() {
 	}
 
@@ -121,6 +127,9 @@
 		}
 
 		private double blame() {
+			if (RequestFingerprint.isOfWholeRequest(this.fingerprint)) {
+				return this.crashes.size() + WHOLE_REQUEST_BLAME;
+			}
 			return this.crashes.size() + (this.answeredBefore ? 0 : NEVER_ANSWERED_BLAME)
 					+ POSITION_BLAME * Math.min(this.position, MAXIMUM_BLAMED_POSITION);
 		}
