--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/SegmentVerdict.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashVerdict.java
@@ -3,23 +3,22 @@
 import java.util.List;
 
 /**
- * What crashes of endpoints say about a segment of prompts. Implementations are
- * immutable.
+ * What crashes of endpoints say about a fingerprint. Implementations are immutable.
  */
-public sealed interface SegmentVerdict {
+public sealed interface CrashVerdict {
 
 	/**
-	 * Returns the crashes that speak against the segment.
+	 * Returns the crashes that speak against the fingerprint.
 	 * @return the crashes, the latest first
 	 */
 	List<EndpointCrash> crashes();
 
 	/**
-	 * Endpoints crashed on requests with the segment, one too few to be sure.
+	 * Endpoints crashed on requests with the fingerprint, one too few to be sure.
 	 *
 	 * @param crashes the crashes, the latest first
 	 */
-	record Suspected(List<EndpointCrash> crashes) implements SegmentVerdict {
+	record Suspected(List<EndpointCrash> crashes) implements CrashVerdict {
 
 		/**
 		 * Creates a verdict.
@@ -32,12 +31,12 @@
 	}
 
 	/**
-	 * Endpoints crash on requests with the segment, which must not be sent.
+	 * Endpoints crash on requests with the fingerprint, which must not be sent.
 	 *
 	 * @param crashes the crashes, the latest first
 	 * @param needed how many of them suffice for the verdict
 	 */
-	record Implicated(List<EndpointCrash> crashes, int needed) implements SegmentVerdict {
+	record Implicated(List<EndpointCrash> crashes, int needed) implements CrashVerdict {
 
 		/**
 		 * Creates a verdict.
--- a/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/quarantine/CrashAttributionTests.java
@@ -18,14 +18,15 @@
 
 	/**
 	 * Parses crashes separated by blanks, each as its time, its address and its segments
-	 * in the order of the prompt: {@code 1000@a:system,deadly}.
+	 * in the order of the prompt, then the whole request:
+	 * {@code 1000@a:system,deadly,:request}.
 	 * @param text the text
 	 * @return the crashes
 	 */
 	private static List<EndpointCrash> crashes(String text) {
 		List<EndpointCrash> crashes = new ArrayList<>();
 		for (String crash : text.split(" ")) {
-			String[] parts = crash.split("[@:]");
+			String[] parts = crash.split("[@:]", 3);
 			Map<String, Integer> segments = new HashMap<>();
 			for (String segment : parts[2].split(",")) {
 				segments.put(segment, segments.size());
@@ -45,17 +46,17 @@
 		return times;
 	}
 
-	private static Map<String, SegmentVerdict> judge(String crashes, String answers) {
+	private static Map<String, CrashVerdict> judge(String crashes, String answers) {
 		Map<String, Long> answeredAt = times(answers);
 		return CrashAttribution.judge(crashes(crashes),
 				(segment) -> answeredAt.getOrDefault(segment, CrashAttribution.NEVER));
 	}
 
-	private static String describe(Map<String, SegmentVerdict> verdicts) {
+	private static String describe(Map<String, CrashVerdict> verdicts) {
 		StringBuilder text = new StringBuilder();
 		new TreeMap<>(verdicts).forEach((segment, verdict) -> text.append(switch (verdict) {
-			case SegmentVerdict.Implicated implicated -> segment + "! ";
-			case SegmentVerdict.Suspected suspected -> segment + " ";
+			case CrashVerdict.Implicated implicated -> segment + "! ";
+			case CrashVerdict.Suspected suspected -> segment + " ";
 		}));
 		return text.toString().strip();
 	}
@@ -80,6 +81,16 @@
 			"simultaneous, answered before | 1000@a:p 1001@b:p 1002@c:p 1003@d:p | p@500 | ''",
 			"simultaneous, beside one more | 1000@a:p 1001@b:p 1300@c:p | p@500 | p",
 			"simultaneous, then once more | 1000@a:p 1001@b:p 1002@c:p 1300@d:p | p@500 | p!",
+			"whole request | 1000@a::w 2000@b::w 3000@c::w | '' | :w!",
+			"whole request, two crashes | 1000@a::w 2000@b::w | '' | :w",
+			"whole request, segments answered before | 1000@a:s,:w 2000@b:s,:w 3000@c:s,:w | s@900 | :w!",
+			"deadly segment, its request came again | 1000@a:p,t,:w 2000@b:p,t,:w 3000@c:p,t,:w | t@900 | p!",
+			"deadly segment, its request and others | 1000@a:p,:w 2000@b:p,:w 3000@c:p,:w 4000@d:p,:x | '' | p!",
+			"whole request, others on the same endpoints | 1000@a:s,:w,:x 2000@b:s,:w,:y 3000@c:s,:w,:z | s@900 | :w!",
+			"whole requests that share a segment | 1000@a:p,:w 2000@b:p,:x 3000@c:p,:w 4000@d:p,:y | '' | p!",
+			"whole request, answered since | 1000@a::w 2000@b::w 3000@c::w | :w@3000 | ''",
+			"whole request, simultaneous | 1000@a::w 1001@b::w 1250@c::w | '' | :w",
+			"whole request, simultaneous, then once more | 1000@a::w 1001@b::w 1250@c::w 1300@d::w | '' | :w!",
 			"one address | 1000@a:p 5000@a:p 9000@a:p | '' | p",
 			"one address, once more | 1000@a:p 5000@a:p 9000@a:p 13000@a:p | '' | p!" })
 	void attributesCrashesToSegments(String name, String crashes, String answers, String verdicts) {
@@ -90,7 +101,7 @@
 	@CsvSource(delimiter = '|', value = { "1000@a:p 2000@b:p 3000@c:p | 3000 | 1000",
 			"1000@a:p 2000@b:p 3000@c:p 4000@d:p | 3000 | 2000", "1000@a:p 2000@a:p 3000@a:p 4000@a:p | 4000 | 1000" })
 	void verdictRestsOnCrashesThatSuffice(String crashes, long since, long decisive) {
-		if (!(judge(crashes, "").get("p") instanceof SegmentVerdict.Implicated implicated)) {
+		if (!(judge(crashes, "").get("p") instanceof CrashVerdict.Implicated implicated)) {
 			throw new AssertionError("not implicated");
 		}
 		Truth.assertThat(implicated.since()).isEqualTo(since);
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -29,7 +29,7 @@
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.peer.PeerSelection;
 import org.masticshelf.serving.placement.Placement;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.UnservedRequests;
 import org.masticshelf.serving.request.WaitingRequests;
@@ -231,7 +231,7 @@
 	}
 
 	private boolean hasSharedFindings() {
-		return this.components.quarantine().hasEvidence() || !this.components.limits().reports().isEmpty();
+		return this.components.quarantine().hasReports() || !this.components.limits().reports().isEmpty();
 	}
 
 	/**
@@ -332,11 +332,11 @@
 	 * @param rates the request rates of models
 	 * @param placement the placement, active while this daemon holds the duty
 	 * @param limits the limits that endpoints state
-	 * @param quarantine the segments of prompts that crash endpoints
+	 * @param quarantine what is known of requests that crash endpoints
 	 */
 	record Components(Members members, Duty duty, PeerRegistry peers, SharedGrants grants, EndpointLoads loads,
 			EndpointDirectory directory, WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates,
-			Placement placement, EndpointLimits limits, PromptQuarantine quarantine) {
+			Placement placement, EndpointLimits limits, RequestQuarantine quarantine) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -13,7 +13,7 @@
 import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 
@@ -32,7 +32,7 @@
  * @param retries the retry budgets
  * @param peers the latest messages of peers
  * @param endpointLimits the limits that endpoints state
- * @param quarantine the segments of prompts that crash endpoints
+ * @param quarantine what is known of requests that crash endpoints
  * @param failureDomain the failure domain of this daemon
  * @param plannedStop the planned stop of this daemon
  * @param serviceTimes how long requests run
@@ -43,7 +43,7 @@
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates, RetryBudgets retries,
-		PeerRegistry peers, EndpointLimits endpointLimits, PromptQuarantine quarantine, String failureDomain,
+		PeerRegistry peers, EndpointLimits endpointLimits, RequestQuarantine quarantine, String failureDomain,
 		PlannedStop plannedStop, ServiceTimes serviceTimes, MonotonicClock clock, ServingMetrics metrics,
 		Consumer<Event> log) {
 }
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.quarantine.RequestFingerprint;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
@@ -41,7 +42,7 @@
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
-import org.masticshelf.serving.quarantine.PromptQuarantine;
+import org.masticshelf.serving.quarantine.RequestQuarantine;
 import org.masticshelf.serving.upstream.AnswerHead;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
@@ -80,9 +81,12 @@
 	private final WaitingRequests waitingRequests = new WaitingRequests(this.clock, () -> {
 	});
 
+	/** No two requests with a prompt are alike. */
+	private int prompts;
+
 	private final MonotonicClock.Manual quarantineClock = new MonotonicClock.Manual();
 
-	private final PromptQuarantine quarantine = new PromptQuarantine(this.quarantineClock, this::log, () -> {
+	private final RequestQuarantine quarantine = new RequestQuarantine(this.quarantineClock, this::log, () -> {
 	});
 
 	private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
@@ -156,8 +160,13 @@
 	}
 
 	private static ServedRequest request(@Nullable LoadableName loadable, @Nullable String key, List<String> segments) {
+		return request(loadable, key, segments, "body");
+	}
+
+	private static ServedRequest request(@Nullable LoadableName loadable, @Nullable String key, List<String> segments,
+			String body) {
 		return new ServedRequest("r", "POST", "/a/b?c", "host", key, 2_000, loadable, 10, 10, "", segments, null,
-				List.of(new Header("Id", "r")), "body".getBytes(StandardCharsets.UTF_8));
+				List.of(new Header("Id", "r")), body.getBytes(StandardCharsets.UTF_8));
 	}
 
 	private void send(ServedRequest request) {
@@ -500,6 +509,30 @@
 		Truth.assertThat(this.caller.body()).isEqualTo("id: 1\n\n");
 	}
 
+	/** Its wait must not outlast the verdict, and it must not be sent at its end. */
+	@Test
+	void waitingRequestIsRefusedOnceItIsImplicated() throws IOException {
+		route(Execution.STREAM, 1, engine(), List.of());
+		list(endpoint("a", STREAM).toEndpoint("other"));
+		this.peerRegistry.updatePlacement(new PeerMessage.Placement(1, List.of(), Map.of("pool/m", 500L)));
+		ServedRequest request = request(LoadableName.ofModel("m"), null, List.of());
+		Thread.startVirtualThread(() -> {
+			while (this.waitingRequests.size() == 0) {
+				Thread.onSpinWait();
+			}
+			for (int number = 1; number <= 3; number++) {
+				this.quarantineClock.advance(Duration.ofSeconds(1));
+				this.quarantine.recordCrash(new ServedEndpoint("e" + number, 1, "pool", "10.0.0." + number, 80,
+						"domain", 8, false, ServedEndpoint.Holdings.NONE), List.of(RequestFingerprint.of(request)));
+			}
+			this.quarantineClock.advance(Duration.ofSeconds(1));
+			this.waitingRequests.signal();
+		});
+		send(request);
+		Truth.assertThat(this.caller.status()).isEqualTo(503);
+		Truth.assertThat(this.events.stream().map(Event::name).toList()).contains("request.quarantined");
+	}
+
 	/**
 	 * A stream without a length that ends with its connection is complete only after
 	 * whole events.
@@ -540,15 +573,17 @@
 
 	/** What requests have in common that crash engines is found by these fields. */
 	@Test
-	void failedExchangeNamesSegmentsAndRunOfEndpoint() throws IOException {
+	void failedExchangeNamesSegmentsRequestAndRunOfEndpoint() throws IOException {
 		route(Execution.STREAM, 1, engine(), List.of());
 		list(endpoint("a", "<close>").toEndpoint("m"));
-		send(request(LoadableName.ofModel("m"), null, List.of("5c", "91")));
+		ServedRequest request = request(LoadableName.ofModel("m"), null, List.of("5c", "91"));
+		send(request);
 		Event failure = this.events.stream()
 			.filter((event) -> event.name().equals("request.exchange_failed"))
 			.findFirst()
 			.orElseThrow();
 		Truth.assertThat(failure.field("segments")).isEqualTo("[5c, 91]");
+		Truth.assertThat(failure.field("request")).isEqualTo(RequestFingerprint.of(request));
 		Truth.assertThat(failure.field("started_at")).isEqualTo("1");
 		Truth.assertThat(failure.field("answering_ms")).isEqualTo("-1");
 	}
@@ -573,14 +608,42 @@
 		Truth.assertThat(forward("system", "subject").body()).isEqualTo("id: 1\n\n");
 	}
 
-	/** A repeat crashes the next engine if the prompt is what crashed the first ones. */
+	/** Guards against one request crashing endpoint after endpoint (BUDGET). */
 	@ParameterizedTest
-	@CsvSource({ "deadly, 2", "'', 4" })
-	void requestIsNotRepeatedAfterItCrashedTwoEngines(String segment, int sends) throws IOException {
+	@CsvSource({ "true, system", "true, ''", "false, ''" })
+	void requestThatCrashedThreeEndpointsReachesNoFurtherOne(boolean streamed, String segment) throws IOException {
+		route(streamed ? Execution.STREAM : Execution.AT_MOST_ONCE, 1, streamed ? engine() : null, List.of());
+		LoadableName model = streamed ? LoadableName.ofModel("m") : null;
+		List<String> segments = segment.isEmpty() ? List.of() : List.of(segment);
+		String answer = streamed ? STREAM + chunk("id: 1\n\n") + "0\r\n\r\n" : OK_ANSWER;
+		ScriptedEndpoint last = endpoint("d", answer, answer);
+		list(last.toEndpoint("m"));
+		Truth.assertThat(forward(request(model, null, segments, "sound")).status()).isEqualTo(200);
+		for (String name : List.of("a", "b", "c")) {
+			list(endpoint(name, "<close>").toEndpoint("m"));
+			this.quarantineClock.advance(Duration.ofSeconds(1));
+			Truth.assertThat(forward(request(model, null, segments, "deadly")).status()).isEqualTo(502);
+		}
+		this.quarantineClock.advance(Duration.ofSeconds(1));
+		list(last.toEndpoint("m"));
+		Truth.assertThat(forward(request(model, null, segments, "deadly")).status()).isEqualTo(503);
+		Truth.assertThat(last.heads()).hasSize(1);
+		Truth.assertThat(forward(request(model, null, segments, "sound")).status()).isEqualTo(200);
+	}
+
+	/**
+	 * A repeat crashes the next endpoint if the request is what crashed the first ones.
+	 * @param segment the segment of its prompt, if any
+	 * @param end how endpoints end the exchange
+	 * @param sends how often it is sent
+	 */
+	@ParameterizedTest
+	@CsvSource({ "deadly, <close>, 2", "'', <close>, 2", "'', rubbish~~, 4" })
+	void requestIsNotRepeatedAfterItCrashedTwoEngines(String segment, String end, int sends) throws IOException {
 		route(Execution.REPEATABLE, 4, engine(), List.of());
 		List<ServedEndpoint> crashing = new ArrayList<>();
 		for (String name : List.of("a", "b", "c", "d")) {
-			crashing.add(endpoint(name, "<close>").toEndpoint("m"));
+			crashing.add(endpoint(name, end.replace("~", "\r\n")).toEndpoint("m"));
 		}
 		list(crashing.toArray(ServedEndpoint[]::new));
 		RecordingCaller segmentCaller = new RecordingCaller();
@@ -689,9 +752,14 @@
 	}
 
 	private RecordingCaller forward(String... segments) {
-		RecordingCaller segmentCaller = new RecordingCaller();
-		forward(request(LoadableName.ofModel("m"), null, List.of(segments)), segmentCaller);
-		return segmentCaller;
+		String body = "request " + ++this.prompts;
+		return forward(request(LoadableName.ofModel("m"), null, List.of(segments), body));
+	}
+
+	private RecordingCaller forward(ServedRequest request) {
+		RecordingCaller requestCaller = new RecordingCaller();
+		forward(request, requestCaller);
+		return requestCaller;
 	}
 
 	private static EngineProfile engine() {
