--- a/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
@@ -19,6 +19,7 @@
 import org.masticshelf.daemon.request.CallerResponse;
 import org.masticshelf.kernel.refusal.Refusal;
 import org.masticshelf.transport.http.DisconnectListener;
+import org.masticshelf.transport.http.StreamFraming;
 import org.masticshelf.transport.json.Json;
 
 /**
@@ -124,6 +125,7 @@
 		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
 		this.exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
 		this.exchange.getResponseHeaders().put(REQUEST_IDENTIFIER, this.echoedIdentifier);
+		StreamFraming.begin(this.exchange);
 		StreamSinkChannel opened = this.exchange.getResponseChannel();
 		if (opened == null) {
 			return;
@@ -178,6 +180,7 @@
 
 	private void endExchange() {
 		this.channel = null;
+		StreamFraming.complete(this.exchange);
 		this.exchange.endExchange();
 	}
 
