A stream without length that ends after a comment only is incomplete

Callers got a complete, empty stream when an endpoint sent a comment to keep the connection open and then closed: a comment counted as the event after which such a stream may end. Only an event with a field counts now, as it does for the timeouts.

The case 'only a comment' of unframedStreamIsCompleteOnlyAfterWholeEvents failed before. 'Only line ends' was not seen failing in this form.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -212,8 +212,8 @@
 			List<StreamEvent> events = splitter.add(buffer, count);
 			if (events.stream().anyMatch(StreamEvent::hasField)) {
 				this.limits.recordEvent();
+				empty = false;
 			}
-			empty &= events.isEmpty();
 			relay.forward(headers, events);
 		}
 		if (splitter.hasPartialEvent()) {
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -497,7 +497,8 @@
 	@CsvSource(delimiter = '|', emptyValue = "",
 			value = { "whole events | id: 1~data: x~~id: 2~~<close> | true",
 					"within an event | id: 1~data: x~~id: 2~<close> | false", "reset | id: 1~data: x~~<reset> | false",
-					"no event | <close> | false" })
+					"no event | <close> | false", "only a comment | :~~<close> | false",
+					"only line ends | ~~~<close> | false" })
 	void unframedStreamIsCompleteOnlyAfterWholeEvents(String name, String events, boolean complete) throws IOException {
 		route(Execution.STREAM, 1);
 		list(endpoint("a", "HTTP/1.1 200 OK\r\nId: r\r\nMark: e\r\nContent-Type: text/event-stream\r\n\r\n"
