--- a/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.masticshelf.kernel.port.ExchangeFailure;
 import org.masticshelf.transport.json.Json;
@@ -117,6 +118,25 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 OK~content-length: 4~~bod",
+			"HTTP/1.1 200 OK~transfer-encoding: chunked~~4~body~0~",
+			"HTTP/1.1 200 OK~content-type: application/json~" })
+	void answerCutAtAnyByteIsNotTakenForComplete(String answer) throws Exception {
+		String whole = answer.replace("~", "\r\n");
+		for (int end = 0; end <= whole.length(); end++) {
+			String sent = whole.substring(0, end);
+			try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+				Thread.startVirtualThread(() -> Fault.answer(listener, sent));
+				HttpCall call = HttpCall.postJson("127.0.0.1:" + listener.getLocalPort(), "/x", new byte[10]);
+				Throwable failure = this.client.exchange(call)
+					.handle((complete, seen) -> seen)
+					.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+				Truth.assertWithMessage("cut after %s bytes", end).that(failure).isInstanceOf(ExchangeFailure.class);
+			}
+		}
+	}
+
 	/** How the server breaks an exchange, and the point of failure to be reported. */
 	enum Fault {
 
