A segment that was answered never takes the blame from a whole request

What callers would see: sound requests refused for up to 300 s in place of the request that crashes endpoints. Found by review, by arithmetic: a whole request on three crashes is implicated; with a fourth attempt already under way, an answered segment at the third or fourth position of its prompt had the higher blame, since its place counts up to three crashes and the whole request's one. Now the place of an answered segment counts no more than that of the whole request, which wins a tie by its position.

--- a/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/quarantine/CrashAttribution.java
@@ -56,7 +56,8 @@
 
 	/**
 	 * The blame, in crashes, of a whole request: no sound request shares it, but a
-	 * segment that was never answered explains the crashes of its other requests, too.
+	 * segment that was never answered explains the crashes of its other requests, too. A
+	 * segment that was answered does not exceed it.
 	 */
 	private static final double WHOLE_REQUEST_BLAME = 1;
 
@@ -130,8 +131,9 @@
 			if (RequestFingerprint.isOfWholeRequest(this.fingerprint)) {
 				return this.crashes.size() + WHOLE_REQUEST_BLAME;
 			}
-			return this.crashes.size() + (this.answeredBefore ? 0 : NEVER_ANSWERED_BLAME)
-					+ POSITION_BLAME * Math.min(this.position, MAXIMUM_BLAMED_POSITION);
+			double ofPosition = POSITION_BLAME * Math.min(this.position, MAXIMUM_BLAMED_POSITION);
+			return this.crashes.size() + (this.answeredBefore ? Math.min(ofPosition, WHOLE_REQUEST_BLAME)
+					: NEVER_ANSWERED_BLAME + ofPosition);
 		}
 
 		/**
