Refusals before a model was last served no longer rank it

Found by review: a daemon's count of refused requests ends only where one is served by it, while the time was already cut at the last service anywhere; 40 refusals from before and one after it ranked as 41 callers in no time. The count is now scaled by the share of its time since then.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/UnservedDemand.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/UnservedDemand.java
@@ -37,8 +37,8 @@
 			Long servedAt = this.runningAt.get(entry.loadable());
 			if (servedAt == null || now - entry.newestMilliseconds() > servedAt) {
 				long countedFrom = (servedAt != null) ? Math.max(firstAt, servedAt) : firstAt;
-				sums.merge(entry.loadable(), new Requests(entry.count(), now - countedFrom, entry.newestMilliseconds()),
-						Requests::mergeWith);
+				sums.merge(entry.loadable(), new Requests(entry.countSince(now - countedFrom), now - countedFrom,
+						entry.newestMilliseconds()), Requests::mergeWith);
 			}
 		}
 		this.requests = Map.copyOf(sums);
@@ -64,6 +64,17 @@
 	 * @param newestMilliseconds how long ago the last of them ended
 	 */
 	public record Counted(LoadableName loadable, int count, long oldestMilliseconds, long newestMilliseconds) {
+
+		// Daemons do not say when each request ended, so their gaps count as equal.
+		private int countSince(long milliseconds) {
+			if (milliseconds >= this.oldestMilliseconds) {
+				return this.count;
+			}
+			double share = (double) (milliseconds - this.newestMilliseconds)
+					/ (this.oldestMilliseconds - this.newestMilliseconds);
+			return Math.max(1, (int) Math.round(this.count * share));
+		}
+
 	}
 
 	/**
