A caller of a stopping daemon waits only if its objective can still be met

Besides, the decision costs nothing while no stop has begun, also before each read of a stream. Found by review.

--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -247,13 +247,17 @@
 		refundIfNotRun();
 		// A caller that returns before it has noticed the stop may be refused here again.
 		long unnoticed = this.context.plannedStop().unnoticedMilliseconds();
-		boolean meetsObjective = elapsed() + unnoticed <= route().objectiveMilliseconds();
+		long startsAt = elapsed() + unnoticed + Math.max(0, waitMilliseconds) + ANSWER_START_MILLISECONDS;
+		boolean meetsObjective = startsAt <= route().objectiveMilliseconds();
 		refuse(SERVICE_UNAVAILABLE, "stopping",
 				meetsObjective ? Math.max(RETRY_ELSEWHERE_MILLISECONDS, unnoticed) : RETRY_ELSEWHERE_MILLISECONDS);
 		return true;
 	}
 
 	private StopDecision decideOnStop(@Nullable ServedEndpoint endpoint, long waitMilliseconds) {
+		if (this.context.plannedStop().phase() == StopPhase.RUNNING) {
+			return StopDecision.Serve.INSTANCE;
+		}
 		long service = this.context.serviceTimes()
 			.estimate(pool(), loadable(), this.request.outputTokens(), endpoint, remaining());
 		return StopDecision.decide(elapsed(), waitMilliseconds, service, this.context.plannedStop().leftMilliseconds());
