Answers to whole requests no longer push out those to segments

What callers would see (BUDGET): while crashes are remembered, each answered request added an entry of its own to the 4,096 last answers, at 100 requests a second the whole of it in 41 s. Segments that are idle for so long then counted as never answered, which one crash fewer implicates, and their sound requests were refused. Segments and whole requests now have their own bounds. Found by review, by reading; RequestQuarantineTests and QuarantineRecordTests pass.

--- a/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
@@ -66,7 +66,9 @@
 
 	private final Map<String, EndpointCrash> crashes = new LinkedHashMap<>();
 
-	private final Map<String, Long> answers = new AnswerTimes();
+	private final Map<String, Long> segmentAnswers = new AnswerTimes();
+
+	private final Map<String, Long> requestAnswers = new AnswerTimes();
 
 	/**
 	 * Fingerprints whose answer a peer seems not to know, with the time of its message.
@@ -176,7 +178,7 @@
 		for (String fingerprint : fingerprints) {
 			long before = answeredAt(fingerprint);
 			if (begunAt > before) {
-				this.answers.put(fingerprint, begunAt);
+				answersOf(fingerprint).put(fingerprint, begunAt);
 				noteAnswer(fingerprint, before, begunAt);
 			}
 		}
@@ -212,7 +214,7 @@
 			// Passing a time on takes time itself and must not make an answer newer.
 			long before = answeredAt(answer.getKey());
 			if (before == CrashAttribution.NEVER || at - DRIFT_MILLISECONDS > before) {
-				this.answers.put(answer.getKey(), at);
+				answersOf(answer.getKey()).put(answer.getKey(), at);
 				noteAnswer(answer.getKey(), before, at);
 			}
 		}
@@ -380,7 +382,12 @@
 	}
 
 	private long answeredAt(String fingerprint) {
-		return this.answers.getOrDefault(fingerprint, CrashAttribution.NEVER);
+		return answersOf(fingerprint).getOrDefault(fingerprint, CrashAttribution.NEVER);
+	}
+
+	// Answers to whole requests, of which none is like another, would push out segments.
+	private Map<String, Long> answersOf(String fingerprint) {
+		return RequestFingerprint.isOfWholeRequest(fingerprint) ? this.requestAnswers : this.segmentAnswers;
 	}
 
 	private boolean isExplained(EndpointCrash crash) {
