--- a/transport/src/main/java/org/masticshelf/transport/http/StreamFraming.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/StreamFraming.java
@@ -11,9 +11,8 @@
  * Frames responses of unknown length so that one that ends early is recognised as
  * incomplete.
  * <p>
- * Invariant: between {@link #begin} and {@link #complete} no way of closing the
- * connection, the end of the process included, makes the response look complete.
- * Stateless; called on the I/O thread of the connection.
+ * Invariant: between {@link #begin} and {@link #complete} closing the connection does not
+ * make the response look complete. Stateless; called on the I/O thread of the connection.
  */
 public final class StreamFraming {
 
