--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -24,7 +24,7 @@
 	record Item(String key, byte[] value, long revision, long created, long lease) {
 	}
 
-	record Change(long revision, String key, Item item) {
+	record Change(long revision, String key, Item item, long at) {
 	}
 
 	/** All that a copy of the store holds. */
@@ -32,6 +32,9 @@
 			long nextLease) {
 	}
 
+	/** "historyS": 20. */
+	private static final long HISTORY_MILLISECONDS = 20_000;
+
 	private final HttpServer server;
 
 	private TreeMap<String, Item> items = new TreeMap<>();
@@ -88,6 +91,9 @@
 			return;
 		}
 		long now = now();
+		while (!this.history.isEmpty() && now - this.history.getFirst().at() > HISTORY_MILLISECONDS) {
+			this.historyFrom = this.history.removeFirst().revision();
+		}
 		for (long lease : List.copyOf(this.leaseEnds.keySet())) {
 			if (this.leaseEnds.get(lease) <= now) {
 				end(lease);
@@ -113,7 +119,7 @@
 		else {
 			this.items.put(key, item);
 		}
-		this.history.add(new Change(this.revision, key, item));
+		this.history.add(new Change(this.revision, key, item, now()));
 		notifyAll();
 	}
 
@@ -314,6 +320,9 @@
 								.put("deleted", true));
 				}
 			}
+			if (events.size() > 8) {
+				this.record.line("store: a watch from revision %d gets %d events", after, events.size());
+			}
 			long left = until - now();
 			if (!events.isEmpty() || left <= 0) {
 				answer.set("events", events);
--- a/review/harness/Tables.java
+++ b/review/harness/Tables.java
@@ -16,8 +16,24 @@
 	 * @param service the service of the route
 	 */
 	static String moved(long version, String service) {
+		return moved(version, service, 0);
+	}
+
+	/**
+	 * Returns a desired state with one route, two services, and routes that nobody uses.
+	 * @param version its version
+	 * @param service the service of the route
+	 * @param others the number of the other routes
+	 */
+	static String moved(long version, String service, int others) {
+		StringBuilder more = new StringBuilder();
+		for (int index = 0; index < others; index++) {
+			String name = Integer.toString(60_466_176 + 7_919 * index, 36);
+			more.append(',')
+				.append(route("r-" + name + "ta", "/lo" + name + "/", "streaming", 15_000, 500, 1, "order-desk", 1));
+		}
 		return "{\"version\":" + version + ",\"routes\":["
-				+ route("stitch-order", "/orders/", "unsafe", 1_200, 150, 2, service, 1) + "],\"services\":["
+				+ route("stitch-order", "/orders/", "unsafe", 1_200, 150, 2, service, 1) + more + "],\"services\":["
 				+ "{\"name\":\"order-desk\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false},"
 				+ "{\"name\":\"order-desk-2\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
 				+ LIMITS_AND_TENANTS;
