--- a/review/harness/Daemon.java
+++ b/review/harness/Daemon.java
@@ -1,9 +1,12 @@
 import java.io.IOException;
 import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.AccessDeniedException;
+import java.nio.file.DirectoryNotEmptyException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -16,9 +19,9 @@
 
 	final String name;
 
-	final int front;
+	int front;
 
-	final int ready;
+	int ready;
 
 	private final Path settings;
 
@@ -26,13 +29,28 @@
 
 	private Process process;
 
+	private boolean closed;
+
+	private int moves;
+
+	private final String zone;
+
+	private final String store;
+
 	Daemon(String name, String zone, String store, Path folder) throws IOException {
 		this.name = name;
+		this.zone = zone;
+		this.store = store;
+		this.settings = folder.resolve(name + ".yaml");
+		this.log = folder.resolve(name + ".log");
+		writeSettings();
+		start();
+	}
+
+	private void writeSettings() throws IOException {
 		int[] ports = freePorts(4);
 		this.front = ports[0];
 		this.ready = ports[1];
-		this.settings = folder.resolve(name + ".yaml");
-		this.log = folder.resolve(name + ".log");
 		Files.writeString(this.settings, """
 				nodeName: "%s"
 				role: "daemon"
@@ -59,16 +77,16 @@
 				bounds: {seedLagS: 3, addrReuseS: 2, contactMs: 3000, ackTimeoutMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxSkewMs: 5000, strictRevoke: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 54, quotaWindowS: 8, quotaOverage: 0.1, quotaSlack: 11000, recoveryS: 12, passMs: 120, retryAfterS: 0, fencingEnforced: false, leaseTtlMs: 3000, thawSlackMs: 300, ceilingWindowS: 5, ceilingOverage: 1.1}
 				platform: {address: "%s", form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, minTtlMs: 1000}
 				"""
-			.formatted(name, zone, this.front, this.ready, ports[2], ports[2], store));
-		start();
+			.formatted(this.name, this.zone, this.front, this.ready, ports[2], ports[2], this.store));
 	}
 
 	// Below the ports that the kernel gives to outgoing channels, so that none is taken before the daemon listens.
 	static int[] freePorts(int count) throws IOException {
 		int[] ports = new int[count];
 		for (int index = 0; index < count;) {
-			int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+			int port = ThreadLocalRandom.current().nextInt(10_000, 30_000);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+					DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName("127.0.0.1"))) {
 				ports[index++] = socket.getLocalPort();
 			}
 			catch (BindException ex) {
@@ -78,7 +96,11 @@
 		return ports;
 	}
 
-	void start() throws IOException {
+	/** Starts the process, unless this was closed. */
+	synchronized void start() throws IOException {
+		if (this.closed) {
+			return;
+		}
 		String run = Files.readAllLines(Path.of("deploy/system.toml"))
 			.stream()
 			.filter((line) -> line.startsWith("run = "))
@@ -89,7 +111,9 @@
 		builder.environment().put("MASTICSHELF_NODE_FILE", this.settings.toString());
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
-		this.process = builder.start();
+		Process started = builder.start();
+		this.process = started;
+		Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
 	}
 
 	boolean isAlive() {
@@ -123,10 +147,16 @@
 		}
 	}
 
-	void awaitReady() throws InterruptedException {
+	/** Waits until the daemon says that it is ready. It starts again at other ports if one was taken meanwhile. */
+	void awaitReady() throws InterruptedException, IOException {
 		long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(25);
 		while (!isReady()) {
-			if (System.nanoTime() - until > 0 || !isAlive()) {
+			if (!isAlive() && !logLines("already in use").isEmpty() && ++this.moves <= 5) {
+				Files.delete(this.log);
+				writeSettings();
+				start();
+			}
+			else if (System.nanoTime() - until > 0 || !isAlive()) {
 				throw new IllegalStateException(this.name + " doesn't get ready, see " + this.log);
 			}
 			Thread.sleep(50);
@@ -140,8 +170,34 @@
 			.toList();
 	}
 
+	/** Ends all daemons, takes what their logs say of the case into the record, and deletes the temporary folder. */
+	static void finish(Iterable<Daemon> daemons, Record record, String... words) {
+		for (Daemon daemon : daemons) {
+			daemon.close();
+			try {
+				daemon.process.waitFor();
+				record.line("log of %s:", daemon.name);
+				daemon.logLines(words).forEach((line) -> record.line("  %s", line));
+				Files.deleteIfExists(daemon.log);
+				Files.deleteIfExists(daemon.settings);
+				Files.deleteIfExists(daemon.settings.getParent());
+				Path above = daemon.settings.getParent().getParent();
+				if (above.getFileName().toString().startsWith("review")) {
+					Files.deleteIfExists(above);
+				}
+			}
+			catch (DirectoryNotEmptyException | AccessDeniedException ex) {
+				// Other files are there.
+			}
+			catch (IOException | InterruptedException ex) {
+				record.line("%s: %s", daemon.name, ex);
+			}
+		}
+	}
+
 	@Override
-	public void close() {
+	public synchronized void close() {
+		this.closed = true;
 		this.process.destroyForcibly();
 	}
 
--- a/review/harness/HungReader.java
+++ b/review/harness/HungReader.java
@@ -57,7 +57,7 @@
 			record.verdict("could not run: %s", ex);
 		}
 		finally {
-			daemons.forEach(Daemon::close);
+			Daemon.finish(daemons, record, "request.exchange", "outcome=caller_gone");
 		}
 		System.exit(status);
 	}
--- a/review/harness/SilentChannels.java
+++ b/review/harness/SilentChannels.java
@@ -41,7 +41,7 @@
 			record.verdict("could not run: %s", ex);
 		}
 		finally {
-			daemons.forEach(Daemon::close);
+			Daemon.finish(daemons, record, "event=lease", "event=store", "event=tables");
 		}
 		System.exit(status);
 	}
--- a/review/harness/StormWhileFrozen.java
+++ b/review/harness/StormWhileFrozen.java
@@ -51,7 +51,7 @@
 			record.verdict("could not run: %s", ex);
 		}
 		finally {
-			daemons.forEach(Daemon::close);
+			Daemon.finish(daemons, record, "event=lease", "event=store", "event=tables");
 		}
 		System.exit(status);
 	}
--- a/review/harness/TwoHolders.java
+++ b/review/harness/TwoHolders.java
@@ -50,7 +50,7 @@
 			record.verdict("could not run: %s", ex);
 		}
 		finally {
-			daemons.forEach(Daemon::close);
+			Daemon.finish(daemons, record, "event=lease", "event=duty", "event=store");
 		}
 		System.exit(status);
 	}
--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -57,6 +57,11 @@
 
 	Worker(String id, String service, String zone, int slots, boolean engine, List<String> models, Record record)
 			throws IOException {
+		this(id, service, zone, slots, engine, models, record, 0);
+	}
+
+	Worker(String id, String service, String zone, int slots, boolean engine, List<String> models, Record record,
+			int port) throws IOException {
 		this.id = id;
 		this.service = service;
 		this.zone = zone;
@@ -67,7 +72,8 @@
 		ServerSocketChannel channel = ServerSocketChannel.open();
 		limitSegments(channel);
 		channel.setOption(StandardSocketOptions.SO_RCVBUF, 64 * 1024);
-		channel.bind(new InetSocketAddress("127.0.0.1", 0), 256);
+		channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+		channel.bind(new InetSocketAddress("127.0.0.1", port), 256);
 		this.listening = channel.socket();
 		Thread.ofVirtual().start(this::accept);
 	}
