--- a/review/harness/KeptChannels.java
+++ b/review/harness/KeptChannels.java
@@ -85,12 +85,7 @@
 	private int run(Path folder, List<Daemon> daemons, boolean trouble) throws Exception {
 		Store store = new Store(this.record);
 		for (String zone : List.of("sofia-a", "sofia-b", "sofia-c")) {
-			new Worker("i-" + zone, "order-desk", zone, 6, false, List.of(), this.record) {
-				@Override
-				void ran(Http.Head head, byte[] body) {
-					// Too many to record each.
-				}
-			}.register(store);
+			new Worker("i-" + zone, "order-desk", zone, 6, false, List.of(), this.record).register(store);
 		}
 		store.put("op/config", Tables.text(1, ""));
 		for (String zone : List.of("sofia-a", "sofia-a", "sofia-b", "sofia-c")) {
@@ -142,7 +137,7 @@
 				boolean kept = true;
 				while (kept && Record.now() < this.endsAt) {
 					long next = Record.now() + (long) (REQUESTERS * 1_000 / REQUESTS_PER_SECOND);
-					kept = request(number, socket, in);
+					kept = request(number, daemon.name, socket, in);
 					Worker.sleep(Math.max(0, next - Record.now()));
 				}
 			}
@@ -152,7 +147,7 @@
 		}
 	}
 
-	private boolean request(int number, Socket socket, InputStream in) throws IOException {
+	private boolean request(int number, String daemon, Socket socket, InputStream in) throws IOException {
 		String id = "k" + number + "-" + this.sent.incrementAndGet();
 		byte[] body = new byte[600];
 		socket.getOutputStream()
@@ -177,16 +172,17 @@
 				if (took > TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS) {
 					this.unanswered.incrementAndGet();
 				}
-				this.record.line("requester: %s answered %d after %d ms", id, head.status(), took);
 			}
+			this.record.line("requester: %s sent at %d ms to %s, answered %d after %d ms", id, sentAt, daemon, head.status(),
+					took);
 			return true;
 		}
 		catch (SocketTimeoutException ex) {
 			if (counted) {
 				this.lasting.incrementAndGet();
 				this.unanswered.incrementAndGet();
-				this.record.line("requester: %s sent at %d ms has no answer at its deadline", id, sentAt);
 			}
+			this.record.line("requester: %s sent at %d ms to %s, no answer at its deadline", id, sentAt, daemon);
 			return false;
 		}
 	}
