--- a/review/harness/KeptChannels.java
+++ b/review/harness/KeptChannels.java
@@ -22,7 +22,7 @@
 
 	private static final double REQUESTS_PER_SECOND = 35;
 
-	private static final long LENGTH_MILLISECONDS = 96_000;
+	private static final long LENGTH_MILLISECONDS = 103_000;
 
 	private static final long CONTACT_MILLISECONDS = 3_000;
 
@@ -110,7 +110,7 @@
 		}
 		this.countedFrom = Record.now() + CONTACT_MILLISECONDS;
 		while (Record.now() < this.endsAt && this.unanswered.get() < 40) {
-			Worker.sleep(5_000);
+			Worker.sleep(2_000);
 			this.record.line("%d sent, %d answered, %d unanswered; %s alive: %s, ready: %s", this.sent.get(),
 					this.answered.get(), this.unanswered.get(), daemons.get(0).name, daemons.get(0).isAlive(),
 					daemons.get(0).isReady());
