Discard idle connections once an exchange goes unanswered

Cause, first part: HttpClient found silent connections one at a time. The poll of the store timed out after 2.7 s, and the next one took another connection from the pool that was as old and as silent. Evidence: 27 s after the start nothing happens, because idle connections are dropped after 20 s and only one is left by then. All users of the pool (polls, lists, lease renewals, writes, orders to engines) lost a timeout for each of them. An exchange that times out before its answer has begun now discards the idle connections to its address; a cancelled one does not. It is logged as connection.idle_discarded.

HttpClientTests.unansweredExchangeDiscardsIdleConnections failed before (both cases, the exchange after the timeout had no answer for 30 s).

--- a/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
@@ -110,10 +110,14 @@
 	 * a {@link TimeoutException}
 	 */
 	public CompletableFuture<HttpResponse> exchangeWithinTimeout(HttpCall call) {
-		CompletableFuture<HttpResponse> exchange = exchange(call);
-		return exchange.copy()
-			.orTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
-			.whenComplete((answer, failure) -> exchange.cancel(false));
+		ResponseCollector collector = new ResponseCollector();
+		HttpExchange exchange = stream(call, collector);
+		return collector.future.orTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
+			.whenComplete((answer, failure) -> {
+				if (failure instanceof TimeoutException) {
+					exchange.expire();
+				}
+			});
 	}
 
 	/**
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -55,7 +55,7 @@
 
 	private XnioExecutor.@Nullable Key timer;
 
-	private Point point = Point.BEFORE_CONNECT;
+	private volatile Point point = Point.BEFORE_CONNECT;
 
 	private boolean ended;
 
@@ -80,6 +80,19 @@
 		}
 	}
 
+	/**
+	 * Ends the exchange because its time has passed. Unlike a cancellation, this discards
+	 * the idle connections to the address if no answer has begun.
+	 */
+	void expire() {
+		this.cancelled = true;
+		ClientConnection current = this.connection;
+		if (current != null) {
+			discardIdleIfUnanswered();
+			failOnIoThread(current, "timeout after " + this.call.timeout());
+		}
+	}
+
 	void connectFailed(String reason) {
 		fail(reason);
 	}
@@ -96,8 +109,7 @@
 			return;
 		}
 		this.timer = opened.getIoThread()
-			.executeAfter(() -> fail("timeout after " + this.call.timeout()), this.call.timeout().toMillis(),
-					TimeUnit.MILLISECONDS);
+			.executeAfter(this::timeOut, this.call.timeout().toMillis(), TimeUnit.MILLISECONDS);
 		opened.getCloseSetter().set((closed) -> connectionClosed(opened));
 		this.point = Point.IN_REQUEST;
 		opened.sendRequest(toRequest(), new ClientCallback<>() {
@@ -129,6 +141,26 @@
 		}
 	}
 
+	private void timeOut() {
+		discardIdleIfUnanswered();
+		fail("timeout after " + this.call.timeout());
+	}
+
+	// Connections that have gone silent are rarely alone: whatever silenced this one has
+	// silenced those that were open beside it.
+	private void discardIdleIfUnanswered() {
+		if (this.point == Point.IN_ANSWER) {
+			return;
+		}
+		int discarded = this.idle.discard(this.call.address());
+		if (discarded > 0) {
+			EventLog.info(Event.named("connection.idle_discarded")
+				.with("address", this.call.address())
+				.with("connections", discarded)
+				.with("unanswered_ms", this.call.timeout().toMillis()));
+		}
+	}
+
 	private ClientRequest toRequest() {
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
 			.setPath(this.call.path());
--- a/transport/src/main/java/org/masticshelf/transport/http/IdleConnections.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/IdleConnections.java
@@ -12,8 +12,9 @@
 /**
  * Pools idle client connections by address.
  * <p>
- * Invariant: at most {@value #MAXIMUM_IDLE_PER_ADDRESS} connections are idle for an
- * address. Each address has its own pool and lock. Thread-safe.
+ * Invariants: at most {@value #MAXIMUM_IDLE_PER_ADDRESS} connections are idle for an
+ * address; none of them was already idle when an exchange with the address last went
+ * unanswered. Each address has its own pool and lock. Thread-safe.
  */
 final class IdleConnections {
 
@@ -41,6 +42,16 @@
 		pool(address).release(connection);
 	}
 
+	/**
+	 * Closes the idle connections of an address, of which nothing tells whether they
+	 * still transmit.
+	 * @param address the IP address and port
+	 * @return the number of connections that were closed
+	 */
+	int discard(String address) {
+		return pool(address).close();
+	}
+
 	/** Closes all idle connections. */
 	void close() {
 		this.pools.values().forEach(AddressPool::close);
@@ -84,9 +95,11 @@
 			this.idle.addLast(new IdleConnection(connection, System.nanoTime()));
 		}
 
-		synchronized void close() {
+		synchronized int close() {
+			int count = this.idle.size();
 			this.idle.forEach((candidate) -> IoUtils.safeClose(candidate.connection()));
 			this.idle.clear();
+			return count;
 		}
 
 	}
--- a/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -77,6 +77,44 @@
 		}
 	}
 
+	/**
+	 * Guards against finding silent connections one at a time: all connections of a pool
+	 * go silent at once, and each would cost a timeout of its own.
+	 * @param expiry how the time of the unanswered exchange ends
+	 */
+	@ParameterizedTest
+	@EnumSource(Expiry.class)
+	void unansweredExchangeDiscardsIdleConnections(Expiry expiry) throws Exception {
+		try (HttpClient singleThreaded = HttpClient.withThreads(1); SilencedServer server = new SilencedServer()) {
+			server.openConnections(singleThreaded, 3);
+			server.silenceOpenConnections();
+			HttpCall call = HttpCall.get(server.address(), "/unanswered").withTimeout(Duration.ofMillis(50));
+			Throwable failure = expiry.exchange(singleThreaded, call)
+				.handle((answer, seen) -> seen)
+				.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(failure).isNotNull();
+			HttpCall next = HttpCall.get(server.address(), "/next").withTimeout(Duration.ofSeconds(TIMEOUT_SECONDS));
+			Truth.assertThat(singleThreaded.exchange(next).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).status())
+				.isEqualTo(200);
+		}
+	}
+
+	@Test
+	void cancelledExchangeKeepsIdleConnections() throws Exception {
+		try (HttpClient singleThreaded = HttpClient.withThreads(1); SilencedServer server = new SilencedServer()) {
+			server.openConnections(singleThreaded, 3);
+			int opened = server.accepted();
+			server.setAnswering(false);
+			CompletableFuture<HttpResponse> cancelled = singleThreaded
+				.exchange(HttpCall.get(server.address(), "/unanswered"));
+			server.awaitUnanswered();
+			cancelled.cancel(false);
+			server.setAnswering(true);
+			singleThreaded.exchange(HttpCall.get(server.address(), "/next")).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(server.accepted()).isEqualTo(opened);
+		}
+	}
+
 	@Test
 	void readsCompleteAnswerOfClosingConnection() throws Exception {
 		try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
@@ -137,6 +175,27 @@
 		}
 	}
 
+	/** What ends an exchange that is not answered in time. */
+	enum Expiry {
+
+		TIMER_OF_THE_EXCHANGE {
+			@Override
+			CompletableFuture<HttpResponse> exchange(HttpClient client, HttpCall call) {
+				return client.exchange(call);
+			}
+		},
+
+		TIMEOUT_WITH_CONNECTING {
+			@Override
+			CompletableFuture<HttpResponse> exchange(HttpClient client, HttpCall call) {
+				return client.exchangeWithinTimeout(call);
+			}
+		};
+
+		abstract CompletableFuture<HttpResponse> exchange(HttpClient client, HttpCall call);
+
+	}
+
 	/** How the server breaks an exchange, and the point of failure to be reported. */
 	enum Fault {
 
