Record crashes before they implicate a request

Cause: QuarantineRecord wrote only crashes that implicate a fingerprint already. Those that count towards it, of whole requests and of segments of prompts alike, were in the memory of the daemons alone, so that each kill before the last crash began the count anew. Besides, only the placing daemon wrote, and after a kill of all there is none until the lease of the last one has ended.

Now the record holds all crashes that no answer has explained, and when their fingerprints were answered before. A crash is written at once, an answer that clears one with the next crash or after 5 s. A daemon reads the record before it begins to write, so that it does not drop what others recorded. While no placing daemon is heard, daemons whose own requests broke write. Bounds: one call at a time, one a second, 16,000 bytes a second; a write that fails is repeated within these.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -217,7 +217,14 @@
 		runSafely(this.dutyView::round);
 		runSafely(this.members::round);
 		runSafely(this.duties::round);
-		runSafely(() -> this.quarantineRecord.round(this.placementDuty.tenure() != null));
+		runSafely(() -> this.quarantineRecord.round(isRecordingQuarantine()));
+	}
+
+	// The holder of the duty, which all daemons tell of crashes. While there is none, as
+	// after a kill of all daemons, those whose own requests broke stand in for it.
+	private boolean isRecordingQuarantine() {
+		return this.placementDuty.tenure() != null
+				|| (this.peerRegistry.placingPeer() == null && this.quarantine.brokenRequests() > 0);
 	}
 
 	private static void runSafely(Runnable task) {
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/QuarantineRecord.java
@@ -3,10 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
@@ -19,20 +18,30 @@
 import org.masticshelf.transport.json.Json;
 
 /**
- * Keeps the crashes that implicate requests in the key-value service, for the case that
- * all daemons end at once and none is left to tell the others.
+ * Keeps what is known of crashes in the key-value service, for the case that all daemons
+ * end at once and none is left to tell the others.
  * <p>
- * Designed for a loss of power while deadly requests go on: each daemon reads the record
- * once after its start, and one of them, which holds a duty, writes it when one is newly
- * implicated. Invariants: at most one call at a time and one a second; the record is one
- * bounded value. Called by one thread; answers may arrive on another. Thread-safe.
+ * Designed for deadly requests that go on while all daemons are killed or lose power, at
+ * any number of crashes: what implicates nothing yet counts on after the start. Each
+ * daemon reads the record after its start, and again before it begins to write. Crashes
+ * are written as soon as the bounds allow; answers that clear a fingerprint are written
+ * with the next crash or after some seconds. Invariants: at most one call at a time, one
+ * a second, and {@value #BYTES_PER_SECOND} bytes a second; the record is one bounded
+ * value. Called by one thread; answers may arrive on another. Thread-safe.
  */
 public final class QuarantineRecord {
 
 	static final String KEY = "masticshelf/quarantine";
 
+	/** Every daemon watches the key, and reads all that is written. */
+	static final long BYTES_PER_SECOND = 16_000;
+
 	private static final long CALL_INTERVAL_MILLISECONDS = 1_000;
 
+	private static final long CLEARANCE_INTERVAL_MILLISECONDS = 5_000;
+
+	private static final long MILLISECONDS_PER_SECOND = 1_000;
+
 	private final KeyValueStore store;
 
 	private final RequestQuarantine quarantine;
@@ -45,11 +54,15 @@
 
 	private boolean read;
 
+	private boolean writer;
+
 	private boolean calling;
 
-	private long calledAt = Long.MIN_VALUE / 2;
+	private long nextCallAt = Long.MIN_VALUE / 2;
 
-	private Set<String> recordedRuns = Set.of();
+	private long writtenAt = Long.MIN_VALUE / 2;
+
+	private RequestQuarantine.@Nullable Revision recorded = RequestQuarantine.Revision.NONE;
 
 	/**
 	 * Creates a record that has not been read yet.
@@ -71,36 +84,56 @@
 
 	// The record may be an older one.
 	private synchronized void writeAgain() {
-		this.recordedRuns = Set.of();
+		this.recorded = null;
 	}
 
 	/**
-	 * Reads the record if that has not succeeded yet, or writes it if it is out of date.
-	 * @param writing whether this daemon is the one that writes
+	 * Reads the record if that is due, or writes it if it is out of date.
+	 * @param writing whether this daemon is to write
 	 */
 	public synchronized void round(boolean writing) {
+		if (writing && !this.writer) {
+			this.read = false;
+		}
+		this.writer = writing;
 		long now = this.clock.milliseconds();
-		if (this.calling || now - this.calledAt < CALL_INTERVAL_MILLISECONDS) {
+		if (this.calling || now - this.nextCallAt < 0) {
 			return;
 		}
 		if (!this.read) {
-			call(now, this.store.get(KEY).thenAccept(this::adopt));
-			return;
+			this.nextCallAt = now + CALL_INTERVAL_MILLISECONDS;
+			call(this.store.get(KEY).thenAccept(this::adopt));
+		}
+		else if (writing && isOutOfDate(now)) {
+			write(now);
 		}
-		PeerMessage.CrashEvidence evidence = this.quarantine.implicatingEvidence();
-		Set<String> runs = runsOf(evidence);
-		if (writing && !this.recordedRuns.containsAll(runs)) {
-			String value = new String(Json.toBytes(new Recorded(this.wallClock.millis(), evidence.crashes())),
-					StandardCharsets.UTF_8);
-			KeyValueStore.Transaction write = new KeyValueStore.Transaction(List.of(),
-					List.of(new KeyValueStore.Operation.Put(KEY, value, 0)));
-			call(now, this.store.transact(write).thenAccept((outcome) -> noteWritten(runs)));
+	}
+
+	private boolean isOutOfDate(long now) {
+		RequestQuarantine.Revision current = this.quarantine.revision();
+		if (current.equals(RequestQuarantine.Revision.NONE)) {
+			return false;
 		}
+		return this.recorded == null || current.crashes() != this.recorded.crashes()
+				|| (current.clearances() != this.recorded.clearances()
+						&& now - this.writtenAt >= CLEARANCE_INTERVAL_MILLISECONDS);
+	}
+
+	private void write(long now) {
+		RequestQuarantine.Revision written = this.quarantine.revision();
+		PeerMessage.CrashEvidence evidence = this.quarantine.unexplainedEvidence();
+		byte[] value = Json.toBytes(new Recorded(this.wallClock.millis(), evidence.crashes(), evidence.answered()));
+		this.nextCallAt = now
+				+ Math.max(CALL_INTERVAL_MILLISECONDS, value.length * MILLISECONDS_PER_SECOND / BYTES_PER_SECOND);
+		this.writtenAt = now;
+		KeyValueStore.Transaction write = new KeyValueStore.Transaction(List.of(),
+				List.of(new KeyValueStore.Operation.Put(KEY, new String(value, StandardCharsets.UTF_8), 0)));
+		call(this.store.transact(write)
+			.thenAccept((outcome) -> noteWritten(written, evidence.crashes().size(), value.length)));
 	}
 
-	private void call(long now, CompletableFuture<Void> call) {
+	private void call(CompletableFuture<Void> call) {
 		this.calling = true;
-		this.calledAt = now;
 		call.whenComplete((nothing, failure) -> noteEnd(failure));
 	}
 
@@ -111,9 +144,9 @@
 		}
 	}
 
-	private synchronized void noteWritten(Set<String> runs) {
-		this.recordedRuns = runs;
-		this.log.accept(Event.named("quarantine.recorded").with("crashes", runs.size()));
+	private synchronized void noteWritten(RequestQuarantine.Revision written, int crashes, int bytes) {
+		this.recorded = written;
+		this.log.accept(Event.named("quarantine.recorded").with("crashes", crashes).with("bytes", bytes));
 	}
 
 	private synchronized void adopt(KeyValueStore.Entry entry) {
@@ -122,30 +155,32 @@
 		if (value == null) {
 			return;
 		}
-		Recorded recorded = Json.toValue(value.getBytes(StandardCharsets.UTF_8), Recorded.class);
-		long since = Math.max(0, this.wallClock.millis() - recorded.at());
+		Recorded found = Json.toValue(value.getBytes(StandardCharsets.UTF_8), Recorded.class);
+		long since = Math.max(0, this.wallClock.millis() - found.at());
 		List<PeerMessage.Crash> crashes = new ArrayList<>();
-		for (PeerMessage.Crash crash : recorded.crashes()) {
+		for (PeerMessage.Crash crash : found.crashes()) {
 			crashes.add(new PeerMessage.Crash(crash.run(), crash.address(), crash.age() + since, crash.fingerprints()));
 		}
-		PeerMessage.CrashEvidence evidence = new PeerMessage.CrashEvidence(crashes, Map.of());
-		this.recordedRuns = runsOf(evidence);
-		this.quarantine.merge("record", evidence);
-	}
-
-	private static Set<String> runsOf(PeerMessage.CrashEvidence evidence) {
-		Set<String> runs = new HashSet<>();
-		evidence.crashes().forEach((crash) -> runs.add(crash.run()));
-		return runs;
+		Map<String, Long> answered = new HashMap<>();
+		if (found.answered() != null) {
+			found.answered().forEach((fingerprint, age) -> answered.put(fingerprint, age + since));
+		}
+		boolean nothingElseKnown = this.quarantine.revision().equals(RequestQuarantine.Revision.NONE);
+		this.quarantine.merge("record", new PeerMessage.CrashEvidence(crashes, answered));
+		if (nothingElseKnown) {
+			this.recorded = this.quarantine.revision();
+		}
 	}
 
 	/**
 	 * The value of the key.
 	 *
 	 * @param at when it was written, milliseconds of the wall clock
-	 * @param crashes the crashes that implicate requests, with their ages at that time
+	 * @param crashes the crashes, with their ages at that time
+	 * @param answered how long before that time fingerprints were last answered,
+	 * {@code null} in records of older builds
 	 */
-	private record Recorded(long at, List<PeerMessage.Crash> crashes) {
+	private record Recorded(long at, List<PeerMessage.Crash> crashes, @Nullable Map<String, Long> answered) {
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
+++ b/serving/src/main/java/org/masticshelf/serving/quarantine/RequestQuarantine.java
@@ -87,6 +87,8 @@
 
 	private long ownCrashes;
 
+	private Revision revision = Revision.NONE;
+
 	/**
 	 * Creates an empty quarantine.
 	 * @param clock the clock
@@ -267,23 +269,36 @@
 	}
 
 	/**
-	 * Returns the crashes that implicate fingerprints, with these only.
-	 * @return the evidence, empty if none is implicated
+	 * Returns what a daemon has to know that starts with an empty memory.
+	 * @return the crashes with fingerprints that have not been answered since, whether or
+	 * not these are suspected yet, the gravest first, and when they were answered before
 	 */
-	public synchronized PeerMessage.CrashEvidence implicatingEvidence() {
+	public synchronized PeerMessage.CrashEvidence unexplainedEvidence() {
 		long now = this.clock.milliseconds();
 		judgeIfDue(now);
-		List<EndpointCrash> implicating = new ArrayList<>();
+		List<EndpointCrash> open = new ArrayList<>();
+		Map<String, Long> answered = new LinkedHashMap<>();
 		for (EndpointCrash crash : gravestFirst()) {
-			Map<String, Integer> fingerprints = new HashMap<>(crash.fingerprints());
-			fingerprints.keySet()
-				.removeIf((fingerprint) -> !(this.verdicts.get(fingerprint) instanceof CrashVerdict.Implicated)
-						|| answeredAt(fingerprint) >= crash.at());
-			if (!fingerprints.isEmpty()) {
-				implicating.add(new EndpointCrash(crash.run(), crash.address(), crash.at(), fingerprints));
+			Map<String, Integer> unanswered = new HashMap<>(crash.fingerprints());
+			unanswered.keySet().removeIf((fingerprint) -> answeredAt(fingerprint) >= crash.at());
+			if (!unanswered.isEmpty()) {
+				open.add(new EndpointCrash(crash.run(), crash.address(), crash.at(), unanswered));
+			}
+			for (String fingerprint : unanswered.keySet()) {
+				if (answeredAt(fingerprint) != CrashAttribution.NEVER) {
+					answered.put(fingerprint, now - answeredAt(fingerprint));
+				}
 			}
 		}
-		return this.selection.select(implicating, Map.of(), this.verdicts.keySet(), this::answeredAt, now);
+		return this.selection.select(open, answered, this.verdicts.keySet(), this::answeredAt, now);
+	}
+
+	/**
+	 * Returns a count of what has been learnt, by which changes are noticed.
+	 * @return the revision
+	 */
+	public synchronized Revision revision() {
+		return this.revision;
 	}
 
 	/**
@@ -359,6 +374,7 @@
 		}
 		boolean isNews = known == null || !merged.fingerprints().equals(known.fingerprints());
 		if (isNews) {
+			this.revision = this.revision.afterCrash();
 			announce();
 		}
 		return isNews;
@@ -374,7 +390,10 @@
 			.stream()
 			.anyMatch((crash) -> before < crash.at() && crash.at() <= answeredAt
 					&& crash.fingerprints().containsKey(fingerprint));
-		this.judgementDue |= clears;
+		if (clears) {
+			this.judgementDue = true;
+			this.revision = this.revision.afterClearance();
+		}
 		// Answers to other fingerprints reach the peers with the regular messages.
 		if (clears && this.verdicts.containsKey(fingerprint)) {
 			announce();
@@ -447,6 +466,27 @@
 		return (answeredAt != CrashAttribution.NEVER) ? now - answeredAt : -1;
 	}
 
+	/**
+	 * How much has been learnt since the start. Immutable.
+	 *
+	 * @param crashes counts crashes and further fingerprints of known ones
+	 * @param clearances counts answers that clear a fingerprint of a crash
+	 */
+	public record Revision(long crashes, long clearances) {
+
+		/** The revision of an empty quarantine. */
+		public static final Revision NONE = new Revision(0, 0);
+
+		private Revision afterCrash() {
+			return new Revision(this.crashes + 1, this.clearances);
+		}
+
+		private Revision afterClearance() {
+			return new Revision(this.crashes, this.clearances + 1);
+		}
+
+	}
+
 	/** What is known about a request. Implementations are immutable. */
 	public sealed interface Finding {
 
