Read answers of the HTTP client within bounded memory

A peer that sends bytes without end in a head made the process that had called it run out of memory, and with it the requests of all callers there. Undertow's client bounds the number of headers, but not the status line, a header, the size of a chunk, its extension or a trailer; while bytes keep coming it does not leave its read loop, so that no timeout runs on that thread either. Orders to engines and their reports, the store, peers and the adapters of the product's own daemon were read by it.

HttpClient now uses that reader, moved to the transport module as HttpConnection, on a virtual thread for each exchange; the second HTTP client is gone. Lines, heads, trailers and interim answers are bounded there, collected bodies by HttpClient; whatever exceeds a bound is reported as INVALID_ANSWER and its connection is reset. The semaphore keeps what callers rely on: at most as many threads call listeners as the client was created with. Idle connections are checked for their end before reuse.

A malformed head was AWAITING_ANSWER before. A request head with a control character is refused.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -18,13 +18,13 @@
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.serving.caller.CallerChannel;
 import org.masticshelf.serving.request.EventSplitter.StreamEvent;
-import org.masticshelf.serving.upstream.AnswerHead;
-import org.masticshelf.serving.upstream.EndpointConnection;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
-import org.masticshelf.serving.upstream.UpstreamException;
+import org.masticshelf.transport.http.AnswerHead;
+import org.masticshelf.transport.http.HttpConnection;
+import org.masticshelf.transport.http.UpstreamException;
 
 /**
  * Sends a request to one endpoint and reads its answer.
@@ -88,8 +88,8 @@
 	 */
 	ExchangeResult run(StreamRelay relay) {
 		ServedEndpoint endpoint = this.outbound.endpoint();
-		EndpointConnection idle = (this.choice == ConnectionChoice.POOLED) ? this.connections.takeIdle(endpoint) : null;
-		EndpointConnection connection = idle;
+		HttpConnection idle = (this.choice == ConnectionChoice.POOLED) ? this.connections.takeIdle(endpoint) : null;
+		HttpConnection connection = idle;
 		if (connection == null) {
 			try {
 				connection = this.connections.open(endpoint, this.choice == ConnectionChoice.PROBING);
@@ -99,7 +99,7 @@
 			}
 		}
 		boolean reused = idle != null;
-		EndpointConnection current = connection;
+		HttpConnection current = connection;
 		Runnable end = current::close;
 		this.caller.onGone(end);
 		this.plannedStop.addExchange(end);
@@ -152,7 +152,7 @@
 
 	// A late second answer to an earlier request may precede the expected answer. Only on
 	// a new connection does an answer that names no request belong to this one.
-	private AnswerHead readMatchingHead(EndpointConnection connection, boolean reused) throws IOException {
+	private AnswerHead readMatchingHead(HttpConnection connection, boolean reused) throws IOException {
 		for (int skipped = 0; skipped < MAXIMUM_STALE_ANSWERS; skipped++) {
 			AnswerHead answer = connection.readHead(this.limits.firstByteMilliseconds());
 			AnswerMetadata metadata = this.protocol.answerMetadata(answer);
@@ -168,7 +168,7 @@
 		throw new IOException("only answers to other requests");
 	}
 
-	private ExchangeResult readAnswer(EndpointConnection connection, AnswerHead answer, StreamRelay relay)
+	private ExchangeResult readAnswer(HttpConnection connection, AnswerHead answer, StreamRelay relay)
 			throws IOException {
 		AnswerMetadata metadata = this.protocol.answerMetadata(answer);
 		if (metadata.requestIdentifier() != null && !metadata.otherEndpoint()) {
@@ -203,7 +203,7 @@
 		return new ExchangeResult.Answered(answer.status(), forwardedHeaders(answer), body);
 	}
 
-	private ExchangeResult relayStream(EndpointConnection connection, AnswerHead answer, StreamRelay relay)
+	private ExchangeResult relayStream(HttpConnection connection, AnswerHead answer, StreamRelay relay)
 			throws IOException {
 		EventSplitter splitter = new EventSplitter();
 		List<Header> headers = forwardedHeaders(answer);
@@ -233,7 +233,7 @@
 		return new ExchangeResult.Streamed();
 	}
 
-	private byte[] readBody(EndpointConnection connection) throws IOException {
+	private byte[] readBody(HttpConnection connection) throws IOException {
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		byte[] buffer = new byte[BUFFER_BYTES];
 		while (true) {
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnections.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnections.java
@@ -10,6 +10,7 @@
 
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
+import org.masticshelf.transport.http.HttpConnection;
 
 /**
  * A pool of idle connections to endpoints.
@@ -51,10 +52,10 @@
 	 * @param endpoint the endpoint
 	 * @return a connection that passed a liveness check, {@code null} if there is none
 	 */
-	public @Nullable EndpointConnection takeIdle(ServedEndpoint endpoint) {
+	public @Nullable HttpConnection takeIdle(ServedEndpoint endpoint) {
 		IdleConnections idle = this.idleConnections.get(keyOf(endpoint));
 		while (idle != null) {
-			EndpointConnection connection = idle.take(this.clock.milliseconds());
+			HttpConnection connection = idle.take(this.clock.milliseconds());
 			if (connection == null) {
 				return null;
 			}
@@ -74,8 +75,8 @@
 	 * @return the connection
 	 * @throws IOException if the connection could not be established in time
 	 */
-	public EndpointConnection open(ServedEndpoint endpoint, boolean suspect) throws IOException {
-		return EndpointConnection.open(endpoint.host(), endpoint.port(),
+	public HttpConnection open(ServedEndpoint endpoint, boolean suspect) throws IOException {
+		return HttpConnection.open(endpoint.host(), endpoint.port(),
 				suspect ? SUSPECT_CONNECT_TIMEOUT_MILLISECONDS : CONNECT_TIMEOUT_MILLISECONDS);
 	}
 
@@ -87,7 +88,7 @@
 	 * @param keepAliveSeconds how long the endpoint keeps it open, 0 to close it,
 	 * negative if unknown
 	 */
-	public void release(ServedEndpoint endpoint, EndpointConnection connection, int keepAliveSeconds) {
+	public void release(ServedEndpoint endpoint, HttpConnection connection, int keepAliveSeconds) {
 		if (!connection.isReusable() || keepAliveSeconds == 0) {
 			connection.close();
 			return;
@@ -119,7 +120,7 @@
 	 * @param connection the connection
 	 * @param until when it expires, monotonic milliseconds
 	 */
-	private record IdleConnection(EndpointConnection connection, long until) {
+	private record IdleConnection(HttpConnection connection, long until) {
 	}
 
 	/** The idle connections of one endpoint. Thread-safe. */
@@ -127,7 +128,7 @@
 
 		private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
-		synchronized @Nullable EndpointConnection take(long now) {
+		synchronized @Nullable HttpConnection take(long now) {
 			while (!this.idle.isEmpty()) {
 				IdleConnection candidate = this.idle.removeLast();
 				if (now < candidate.until()) {
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
@@ -7,6 +7,7 @@
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRequest.Header;
+import org.masticshelf.transport.http.AnswerHead;
 
 /**
  * The wire format of requests to endpoints and their answers. Implementations are
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -43,9 +43,9 @@
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
-import org.masticshelf.serving.upstream.AnswerHead;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
+import org.masticshelf.transport.http.AnswerHead;
 
 /**
  * Tests {@link Forwarding} against endpoints on real sockets.
--- a/serving/src/main/java/org/masticshelf/serving/upstream/AnswerHead.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/AnswerHead.java
@@ -1,4 +1,4 @@
-package org.masticshelf.serving.upstream;
+package org.masticshelf.transport.http;
 
 import java.util.List;
 
@@ -7,15 +7,15 @@
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 
 /**
- * The status and headers of an endpoint's answer. Immutable.
+ * The status and headers of an answer. Immutable.
  *
  * @param status the HTTP status
  * @param headers the headers as received, in order
  * @param framing how the end of the body is determined
  * @param length the announced length of the body, negative if there is none
- * @param closing whether the endpoint closes the connection after this answer
- * @param keepAliveSeconds how long the endpoint keeps an idle connection open, negative
- * if unknown
+ * @param closing whether the server closes the connection after this answer
+ * @param keepAliveSeconds how long the server keeps an idle connection open, negative if
+ * unknown
  */
 public record AnswerHead(int status, List<Header> headers, Framing framing, long length, boolean closing,
 		int keepAliveSeconds) {
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
@@ -1,89 +1,46 @@
 package org.masticshelf.transport.http;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
-
 import org.masticshelf.kernel.port.ExchangeFailure;
 
 /**
- * An HTTP client based on Undertow that reports how far a failed exchange had got.
+ * An HTTP client that reports how far a failed exchange had got.
  * <p>
- * Invariant: a connection carries one exchange at a time and is closed unless the
- * exchange left it reusable. Thread-safe.
+ * Invariants: a connection carries one exchange at a time and is closed unless the
+ * exchange left it reusable; whatever a server sends, a response occupies bounded memory.
+ * Thread-safe.
  */
 public final class HttpClient implements AutoCloseable {
 
-	private static final int BUFFER_BYTES = 16 * 1024;
-
-	private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
-
-	private final XnioWorker worker;
-
-	private final boolean ownsWorker;
-
-	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+	/** The maximum size of a body that is collected. */
+	static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
 	private final IdleConnections idle = new IdleConnections();
 
-	private HttpClient(XnioWorker worker, boolean ownsWorker) {
-		this.worker = worker;
-		this.ownsWorker = ownsWorker;
-	}
+	private final Set<HttpExchange> running = ConcurrentHashMap.newKeySet();
 
-	/**
-	 * Creates a client that runs on an existing worker and does not shut it down when
-	 * closed.
-	 * @param worker the worker to run on
-	 * @return the client
-	 */
-	public static HttpClient withWorker(XnioWorker worker) {
-		return new HttpClient(worker, false);
-	}
+	private final Semaphore callbacks;
 
-	/**
-	 * Creates a client with its own threads.
-	 * @param ioThreads the number of I/O threads
-	 * @return the client
-	 */
-	public static HttpClient withThreads(int ioThreads) {
-		return new HttpClient(newWorker(ioThreads, "client"), true);
+	private HttpClient(Semaphore callbacks) {
+		this.callbacks = callbacks;
 	}
 
 	/**
-	 * Creates a worker of daemon threads.
-	 * @param ioThreads the number of I/O threads
-	 * @param name the prefix of the thread names
-	 * @return the worker
+	 * Creates a client.
+	 * @param threads how many threads call listeners and complete futures at a time
+	 * @return the client
 	 */
-	public static XnioWorker newWorker(int ioThreads, String name) {
-		try {
-			return Xnio.getInstance(HttpClient.class.getClassLoader())
-				.createWorker(OptionMap.builder()
-					.set(Options.WORKER_IO_THREADS, ioThreads)
-					.set(Options.WORKER_NAME, name)
-					.set(Options.THREAD_DAEMON, true)
-					.set(Options.TCP_NODELAY, true)
-					.getMap());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("cannot start threads for input and output", ex);
-		}
+	public static HttpClient withThreads(int threads) {
+		return new HttpClient(new Semaphore(threads));
 	}
 
 	/**
@@ -123,50 +80,20 @@
 	/**
 	 * Sends a request and passes the response to a listener while it arrives.
 	 * @param call the request to send
-	 * @param listener receives the response on an I/O thread
+	 * @param listener receives the response
 	 * @return the running exchange, which can be cancelled
 	 */
 	public HttpExchange stream(HttpCall call, ResponseListener listener) {
-		ClientConnection reused = call.freshConnection() ? null : this.idle.acquire(call.address());
-		HttpExchange exchange = new HttpExchange(call, listener, this.buffers, this.idle);
-		if (reused != null) {
-			exchange.start(reused);
-			return exchange;
-		}
-		connect(call, exchange);
+		HttpExchange exchange = new HttpExchange(call, listener, this.idle, this.callbacks);
+		this.running.add(exchange);
+		exchange.start(this.running::remove);
 		return exchange;
 	}
 
-	private void connect(HttpCall call, HttpExchange exchange) {
-		URI destination;
-		try {
-			destination = URI.create("http://" + call.address());
-		}
-		catch (IllegalArgumentException ex) {
-			exchange.connectFailed("malformed address " + call.address());
-			return;
-		}
-		UndertowClient.getInstance().connect(new ClientCallback<>() {
-			@Override
-			public void completed(ClientConnection connection) {
-				exchange.start(connection);
-			}
-
-			@Override
-			public void failed(IOException failure) {
-				exchange.connectFailed(String.valueOf(failure.getMessage()));
-			}
-		}, destination, this.worker.getIoThread(), this.buffers,
-				OptionMap.builder().set(Options.TCP_NODELAY, true).getMap());
-	}
-
 	@Override
 	public void close() {
 		this.idle.close();
-		if (this.ownsWorker) {
-			this.worker.shutdown();
-		}
-		this.buffers.close();
+		this.running.forEach(HttpExchange::cancel);
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnection.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpConnection.java
@@ -1,4 +1,4 @@
-package org.masticshelf.serving.upstream;
+package org.masticshelf.transport.http;
 
 import java.io.BufferedInputStream;
 import java.io.Closeable;
@@ -22,16 +22,16 @@
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 
 /**
- * A blocking HTTP/1.1 connection to an endpoint, for use on a virtual thread.
+ * A blocking HTTP/1.1 connection of a client, for use on a virtual thread.
  * <p>
  * Answers are parsed strictly: a length that is not a number, two different lengths, a
  * chunk that does not end where it should, or more bytes than announced fail the exchange
  * or make the connection unusable for another one. Invariants: the connection carries one
- * exchange at a time; a head is read within bounded memory and within its timeout,
- * however its bytes are spread over time. Not thread-safe, except that {@link #close()}
- * may be called by any thread.
+ * exchange at a time; whatever the other side sends, and however its bytes are spread
+ * over time, a head or a part of a body is read within bounded memory and within its
+ * timeout. Not thread-safe, except that {@link #close()} may be called by any thread.
  */
-public final class EndpointConnection implements Closeable {
+public final class HttpConnection implements Closeable {
 
 	private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
 
@@ -61,7 +61,7 @@
 
 	private boolean chunkEndPending;
 
-	private EndpointConnection(SocketChannel channel) throws IOException {
+	private HttpConnection(SocketChannel channel) throws IOException {
 		this.channel = channel;
 		this.input = new BufferedInputStream(new TimedInput(channel.socket().getInputStream()), BUFFER_BYTES);
 	}
@@ -74,12 +74,12 @@
 	 * @return the open connection
 	 * @throws IOException if the connection could not be established in time
 	 */
-	public static EndpointConnection open(String host, int port, int timeoutMilliseconds) throws IOException {
+	public static HttpConnection open(String host, int port, int timeoutMilliseconds) throws IOException {
 		SocketChannel channel = SocketChannel.open();
 		try {
 			channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
 			channel.socket().connect(new InetSocketAddress(host, port), timeoutMilliseconds);
-			return new EndpointConnection(channel);
+			return new HttpConnection(channel);
 		}
 		catch (IOException | RuntimeException ex) {
 			channel.close();
@@ -88,7 +88,7 @@
 	}
 
 	/**
-	 * Returns whether the endpoint has closed an idle connection or sent unsolicited
+	 * Returns whether the other side has closed an idle connection or sent unsolicited
 	 * bytes.
 	 * @return whether the connection must not be used again
 	 */
@@ -397,11 +397,11 @@
 		}
 
 		private void limitRead() throws IOException {
-			long remainingNanoseconds = EndpointConnection.this.readUntilNanoseconds - System.nanoTime();
+			long remainingNanoseconds = HttpConnection.this.readUntilNanoseconds - System.nanoTime();
 			if (remainingNanoseconds <= 0) {
 				throw new SocketTimeoutException("no time left");
 			}
-			EndpointConnection.this.channel.socket()
+			HttpConnection.this.channel.socket()
 				.setSoTimeout((int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanoseconds)));
 		}
 
--- a/transport/src/main/java/org/masticshelf/transport/http/IdleConnections.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/IdleConnections.java
@@ -5,9 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-import io.undertow.client.ClientConnection;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 
 /**
  * Pools idle client connections by address.
@@ -24,12 +22,14 @@
 
 	private final Map<String, AddressPool> pools = new ConcurrentHashMap<>();
 
+	private volatile boolean closed;
+
 	/**
 	 * Takes the most recently used connection out of the pool.
 	 * @param address the IP address and port
-	 * @return an open connection or {@code null} if there is none
+	 * @return a connection that passed a liveness check, or {@code null} if there is none
 	 */
-	@Nullable ClientConnection acquire(String address) {
+	@Nullable HttpConnection acquire(String address) {
 		return pool(address).acquire();
 	}
 
@@ -38,8 +38,11 @@
 	 * @param address the IP address and port
 	 * @param connection a connection without a running exchange
 	 */
-	void release(String address, ClientConnection connection) {
+	void release(String address, HttpConnection connection) {
 		pool(address).release(connection);
+		if (this.closed) {
+			close();
+		}
 	}
 
 	/**
@@ -52,8 +55,9 @@
 		return pool(address).close();
 	}
 
-	/** Closes all idle connections. */
+	/** Closes all idle connections, and those that are released later. */
 	void close() {
+		this.closed = true;
 		this.pools.values().forEach(AddressPool::close);
 	}
 
@@ -67,7 +71,7 @@
 	 * @param connection the connection, which has no running exchange
 	 * @param sinceNanoseconds the {@link System#nanoTime()} at which it became idle
 	 */
-	private record IdleConnection(ClientConnection connection, long sinceNanoseconds) {
+	private record IdleConnection(HttpConnection connection, long sinceNanoseconds) {
 	}
 
 	/** Holds the idle connections of one address, guarded by its own lock. */
@@ -75,21 +79,21 @@
 
 		private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
-		synchronized @Nullable ClientConnection acquire() {
+		synchronized @Nullable HttpConnection acquire() {
 			while (!this.idle.isEmpty()) {
 				IdleConnection candidate = this.idle.removeLast();
 				boolean fresh = System.nanoTime() - candidate.sinceNanoseconds() < MAXIMUM_IDLE_NANOSECONDS;
-				if (fresh && candidate.connection().isOpen()) {
+				if (fresh && !candidate.connection().isStale()) {
 					return candidate.connection();
 				}
-				IoUtils.safeClose(candidate.connection());
+				candidate.connection().close();
 			}
 			return null;
 		}
 
-		synchronized void release(ClientConnection connection) {
-			if (!connection.isOpen() || this.idle.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
-				IoUtils.safeClose(connection);
+		synchronized void release(HttpConnection connection) {
+			if (this.idle.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
+				connection.close();
 				return;
 			}
 			this.idle.addLast(new IdleConnection(connection, System.nanoTime()));
@@ -97,7 +101,7 @@
 
 		synchronized int close() {
 			int count = this.idle.size();
-			this.idle.forEach((candidate) -> IoUtils.safeClose(candidate.connection()));
+			this.idle.forEach((candidate) -> candidate.connection().close());
 			this.idle.clear();
 			return count;
 		}
--- a/serving/src/main/java/org/masticshelf/serving/upstream/UpstreamException.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/UpstreamException.java
@@ -1,9 +1,9 @@
-package org.masticshelf.serving.upstream;
+package org.masticshelf.transport.http;
 
 import java.io.IOException;
 
 /**
- * Thrown if an exchange with an endpoint yields no complete answer.
+ * Thrown if an exchange with a server yields no complete answer.
  */
 public final class UpstreamException extends IOException {
 
