Bound the data of a server-sent event from an engine

An engine that sends data lines without the empty line that ends an event made the product's own daemon keep all of them: lines were bounded, events were not. An event above 1,048,576 characters now fails the exchange as INVALID_ANSWER, which closes its connection.

GenerationListenerTests.refusesAnswerWithoutEnd failed before in the two cases of data lines without end (16 MB taken); lines, unary bodies and comments were bounded already.

--- a/adapters/src/main/java/org/masticshelf/adapters/engine/EventStreamParser.java
+++ b/adapters/src/main/java/org/masticshelf/adapters/engine/EventStreamParser.java
@@ -10,13 +10,15 @@
 /**
  * Splits a body of server-sent events into the data of its events.
  * <p>
- * Invariant: the data handed on are those of complete events only, in order. Used by one
- * thread at a time.
+ * Invariants: the data handed on are those of complete events only, in order; a line and
+ * the data of an event are bounded. Used by one thread at a time.
  */
 final class EventStreamParser {
 
 	private static final int MAXIMUM_LINE_BYTES = 1024 * 1024;
 
+	private static final int MAXIMUM_DATA_CHARACTERS = 1024 * 1024;
+
 	private static final String DATA_FIELD = "data:";
 
 	private final Consumer<String> events;
@@ -36,7 +38,7 @@
 	/**
 	 * Takes a piece of the body.
 	 * @param piece the bytes
-	 * @throws ExchangeFailure if a line is longer than any event may be
+	 * @throws ExchangeFailure if a line or an event is longer than any may be
 	 */
 	void take(ByteBuffer piece) {
 		while (piece.hasRemaining()) {
@@ -46,7 +48,8 @@
 				continue;
 			}
 			if (this.line.size() >= MAXIMUM_LINE_BYTES) {
-				throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER, "event line above the bound");
+				throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER,
+						"event line above " + MAXIMUM_LINE_BYTES + " bytes");
 			}
 			this.line.write(next);
 		}
@@ -66,6 +69,10 @@
 			this.data.append('\n');
 		}
 		this.data.append(text.substring(DATA_FIELD.length()).stripLeading());
+		if (this.data.length() > MAXIMUM_DATA_CHARACTERS) {
+			throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER,
+					"event above " + MAXIMUM_DATA_CHARACTERS + " characters");
+		}
 	}
 
 	private void endEvent() {
--- a/adapters/src/test/java/org/masticshelf/adapters/engine/GenerationListenerTests.java
+++ b/adapters/src/test/java/org/masticshelf/adapters/engine/GenerationListenerTests.java
@@ -24,6 +24,8 @@
 
 class GenerationListenerTests {
 
+	private static final long MAXIMUM_ANSWER_BYTES = 16L * 1024 * 1024;
+
 	private static final String STREAM_TYPE = "text/event-stream";
 
 	private static final String WHOLE_STREAM = """
@@ -71,6 +73,31 @@
 		Truth.assertThat(recorder.endings).containsExactly(expected);
 	}
 
+	/**
+	 * Guards against an engine whose answer is kept in memory without end, in a line, an
+	 * event or a body.
+	 * @param type the type of the answer
+	 * @param repeated what the engine sends without end
+	 */
+	@ParameterizedTest
+	@CsvSource({ "text/event-stream, x", "text/event-stream, data: x", "text/event-stream, 'data: x\n'",
+			"text/event-stream, 'data: x\n:\n'", "application/json, x" })
+	void refusesAnswerWithoutEnd(String type, String repeated) {
+		GenerationListener listener = listener(new Recorder());
+		listener.onHead(200, Map.of("content-type", type));
+		byte[] piece = repeated.repeat(10_000).getBytes(StandardCharsets.UTF_8);
+		ExchangeFailure failure = null;
+		for (long sent = 0; sent < MAXIMUM_ANSWER_BYTES && failure == null; sent += piece.length) {
+			try {
+				listener.onBody(ByteBuffer.wrap(piece));
+			}
+			catch (ExchangeFailure ex) {
+				failure = ex;
+			}
+		}
+		Truth.assertThat(failure).isNotNull();
+	}
+
 	@Property(tries = 100, seed = "7")
 	void doesNotDependOnHowBytesArrive(@ForAll @IntRange(min = 1, max = 300) int pieceBytes) {
 		Recorder recorder = new Recorder();
