Bound answers to orders and reports by their size

The placing daemon asks many engines at once. Each answer could occupy 16 MB, and about three times that while it is collected, in a process with a heap of 160 MB, where reports have some kilobytes.

--- a/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpClient.java
@@ -21,9 +21,6 @@
  */
 public final class HttpClient implements AutoCloseable {
 
-	/** The maximum size of a body that is collected. */
-	static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
-
 	private final IdleConnections idle = new IdleConnections();
 
 	private final Set<HttpExchange> running = ConcurrentHashMap.newKeySet();
@@ -49,7 +46,7 @@
 	 * @return the response, whatever its status; fails with an {@link ExchangeFailure}
 	 */
 	public CompletableFuture<HttpResponse> exchange(HttpCall call) {
-		ResponseCollector collector = new ResponseCollector();
+		ResponseCollector collector = new ResponseCollector(call.maximumAnswerBytes());
 		HttpExchange exchange = stream(call, collector);
 		collector.future.whenComplete((answer, failure) -> {
 			if (collector.future.isCancelled()) {
@@ -67,7 +64,7 @@
 	 * a {@link TimeoutException}
 	 */
 	public CompletableFuture<HttpResponse> exchangeWithinTimeout(HttpCall call) {
-		ResponseCollector collector = new ResponseCollector();
+		ResponseCollector collector = new ResponseCollector(call.maximumAnswerBytes());
 		HttpExchange exchange = stream(call, collector);
 		return collector.future.orTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
 			.whenComplete((answer, failure) -> {
@@ -105,10 +102,16 @@
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+		private final int maximumBytes;
+
 		private int status;
 
 		private Map<String, String> headers = Map.of();
 
+		private ResponseCollector(int maximumBytes) {
+			this.maximumBytes = maximumBytes;
+		}
+
 		@Override
 		public void onHead(int status, Map<String, String> headers) {
 			this.status = status;
@@ -119,9 +122,9 @@
 		public void onBody(ByteBuffer piece) {
 			byte[] bytes = new byte[piece.remaining()];
 			piece.get(bytes);
-			if (this.body.size() + bytes.length > MAXIMUM_ANSWER_BYTES) {
+			if (this.body.size() + bytes.length > this.maximumBytes) {
 				throw new ExchangeFailure(ExchangeFailure.Point.INVALID_ANSWER,
-						"answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
+						"answer above " + this.maximumBytes + " bytes");
 			}
 			this.body.writeBytes(bytes);
 		}
