Discard idle connections to an endpoint after an unanswered request

An exchange that times out before the head of its answer now closes the connections that have been idle since before its request was sent. Those that carried an answer since are kept, so that a slow endpoint does not lose its connections to one slow request.

ForwardingTests.unansweredRequestDiscardsConnectionsThatWereIdleBefore failed before (the second request took the other silent connection: 2 connections in all, 3 expected). Requests that are sent at the same moment still each find a silent connection; only a probe of idle connections would change that.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -104,14 +104,20 @@
 		this.caller.onGone(end);
 		this.plannedStop.addExchange(end);
 		int keepAliveSeconds = 0;
+		long sentAt = this.connections.now();
+		boolean answered = false;
 		try {
 			connection.send(encodeHead(), this.outbound.request().body());
 			AnswerHead answer = readMatchingHead(connection, reused);
+			answered = true;
 			keepAliveSeconds = answer.closing() ? 0 : answer.keepAliveSeconds();
 			return readAnswer(connection, answer, relay);
 		}
 		catch (SocketTimeoutException ex) {
 			keepAliveSeconds = 0;
+			if (!answered) {
+				this.connections.discardIdleSinceBefore(endpoint, sentAt);
+			}
 			return new ExchangeResult.Lost("no byte in time", ExchangeResult.Lost.Kind.TIMED_OUT);
 		}
 		catch (IOException ex) {
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnections.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointConnections.java
@@ -16,8 +16,9 @@
  * A pool of idle connections to endpoints.
  * <p>
  * Invariants: a connection is not reused after the endpoint has restarted, nor after
- * three quarters of the keep-alive time that the endpoint announced. The connections of
- * each endpoint are guarded by their own lock. Thread-safe.
+ * three quarters of the keep-alive time that the endpoint announced, nor if it has been
+ * idle since before a request that went unanswered. The connections of each endpoint are
+ * guarded by their own lock. Thread-safe.
  */
 public final class EndpointConnections {
 
@@ -96,7 +97,28 @@
 		long keep = (keepAliveSeconds > 0) ? (long) (keepAliveSeconds * 1_000 * USED_SHARE_OF_KEEP_ALIVE)
 				: DEFAULT_IDLE_TIMEOUT_MILLISECONDS;
 		this.idleConnections.computeIfAbsent(keyOf(endpoint), (key) -> new IdleConnections())
-			.add(new IdleConnection(connection, this.clock.milliseconds() + keep));
+			.add(new IdleConnection(connection, this.clock.milliseconds(), this.clock.milliseconds() + keep));
+	}
+
+	/**
+	 * Returns the time by which exchanges are compared with idle connections.
+	 * @return monotonic milliseconds
+	 */
+	public long now() {
+		return this.clock.milliseconds();
+	}
+
+	/**
+	 * Closes the idle connections of an endpoint that may have gone silent together with
+	 * one on which a request went unanswered.
+	 * @param endpoint the endpoint
+	 * @param sentAt when that request was sent, monotonic milliseconds; connections that
+	 * have carried an answer since are kept
+	 * @return the number of connections that were closed
+	 */
+	public int discardIdleSinceBefore(ServedEndpoint endpoint, long sentAt) {
+		IdleConnections idle = this.idleConnections.get(keyOf(endpoint));
+		return (idle != null) ? idle.discardSinceBefore(sentAt) : 0;
 	}
 
 	/**
@@ -118,9 +140,10 @@
 	 * An idle connection.
 	 *
 	 * @param connection the connection
+	 * @param since when it became idle, monotonic milliseconds
 	 * @param until when it expires, monotonic milliseconds
 	 */
-	private record IdleConnection(HttpConnection connection, long until) {
+	private record IdleConnection(HttpConnection connection, long since, long until) {
 	}
 
 	/** The idle connections of one endpoint. Thread-safe. */
@@ -147,6 +170,18 @@
 			this.idle.addLast(added);
 		}
 
+		synchronized int discardSinceBefore(long time) {
+			int before = this.idle.size();
+			this.idle.removeIf((candidate) -> {
+				boolean doubtful = candidate.since() < time;
+				if (doubtful) {
+					candidate.connection().close();
+				}
+				return doubtful;
+			});
+			return before - this.idle.size();
+		}
+
 		synchronized void close() {
 			this.idle.forEach((one) -> one.connection().close());
 			this.idle.clear();
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -46,6 +46,7 @@
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 import org.masticshelf.transport.http.AnswerHead;
+import org.masticshelf.transport.http.HttpConnection;
 
 /**
  * Tests {@link Forwarding} against endpoints on real sockets.
@@ -228,6 +229,33 @@
 			.isEqualTo(status == 200 || status == 500 || answer.contains("504"));
 	}
 
+	/**
+	 * Guards against orders that are sent into one silent connection after the other:
+	 * those that were idle before an unanswered request may be silent as well.
+	 */
+	@Test
+	void unansweredRequestDiscardsConnectionsThatWereIdleBefore() throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		ScriptedEndpoint endpoint = endpoint("e", ScriptedEndpoint.SILENT,
+				"HTTP/1.1 200 OK\r\nId: r\r\nMark: e\r\nContent-Length: 2\r\n\r\nok");
+		ServedEndpoint listed = endpoint.toEndpoint();
+		list(listed);
+		HttpConnection first = this.connections.open(listed, false);
+		HttpConnection second = this.connections.open(listed, false);
+		this.connections.release(listed, first, -1);
+		this.connections.release(listed, second, -1);
+		long idleAt = this.connections.now();
+		while (this.connections.now() == idleAt) {
+			Thread.onSpinWait();
+		}
+		RecordingCaller unanswered = new RecordingCaller();
+		forward(request(null, null, List.of()), unanswered);
+		Truth.assertThat(unanswered.status()).isEqualTo(504);
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(200);
+		Truth.assertThat(endpoint.connections()).isEqualTo(3);
+	}
+
 	/**
 	 * Endpoints in trouble send bytes without end, which are no answer. The exchange ends
 	 * in time and within bounded memory, and the caller learns that the request may have
--- a/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
@@ -33,6 +33,9 @@
 	/** Ends an entry after which the connection is reset. */
 	static final String RESET = "<reset>";
 
+	/** An entry that leaves the request without an answer on an open connection. */
+	static final String SILENT = "";
+
 	/** Precedes bytes that are repeated until the connection is closed by the daemon. */
 	static final String ENDLESS = "<endless>";
 
