Release answered requests of kept connections

Undertow keeps the close listeners of a connection until its end; two were added for each request, and they refer to the request.

CloseListeners adds one listener to a connection and drops what it refers to as soon as an exchange is complete; the listener of callers, their channels and the product's own daemon use it.

--- a/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
@@ -18,6 +18,7 @@
 
 import org.masticshelf.daemon.request.CallerResponse;
 import org.masticshelf.kernel.refusal.Refusal;
+import org.masticshelf.transport.http.CloseListeners;
 import org.masticshelf.transport.http.DisconnectListener;
 import org.masticshelf.transport.http.StreamFraming;
 import org.masticshelf.transport.json.Json;
@@ -194,16 +195,7 @@
 				action.run();
 				return;
 			}
-			AtomicBoolean complete = new AtomicBoolean();
-			this.exchange.addExchangeCompleteListener((completed, next) -> {
-				complete.set(true);
-				next.proceed();
-			});
-			this.exchange.getConnection().addCloseListener((connection) -> {
-				if (!complete.get()) {
-					action.run();
-				}
-			});
+			CloseListeners.add(this.exchange, action);
 			DisconnectListener.install(this.exchange);
 		});
 	}
--- a/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
@@ -25,6 +25,7 @@
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.serving.caller.RequestCodec.Decoded;
 import org.masticshelf.serving.caller.RequestCodec.RawRequest;
+import org.masticshelf.transport.http.CloseListeners;
 
 /**
  * Listens for callers' requests and for readiness probes and metrics scrapes.
@@ -193,7 +194,7 @@
 			this.unanswered.remove(completed);
 			next.proceed();
 		});
-		exchange.getConnection().addCloseListener((connection) -> this.unanswered.remove(exchange));
+		CloseListeners.add(exchange, () -> this.unanswered.remove(exchange));
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
@@ -19,6 +19,7 @@
 import org.xnio.channels.StreamSinkChannel;
 
 import org.masticshelf.kernel.serving.ServedRequest.Header;
+import org.masticshelf.transport.http.CloseListeners;
 import org.masticshelf.transport.http.DisconnectListener;
 import org.masticshelf.transport.http.StreamFraming;
 
@@ -60,7 +61,7 @@
 
 	UndertowCallerChannel(HttpServerExchange exchange) {
 		this.exchange = exchange;
-		exchange.getConnection().addCloseListener((connection) -> handleClose());
+		CloseListeners.add(exchange, this::handleClose);
 		// The connection's listener suspends reads after it has dispatched the exchange.
 		exchange.getIoThread().execute(() -> {
 			if (!exchange.isComplete()) {
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -2,9 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -104,6 +106,42 @@
 		Truth.assertThat(gone.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
 	}
 
+	/**
+	 * Guards against a process that runs out of memory because kept connections hold
+	 * every request that they have carried.
+	 */
+	@Test
+	@Timeout(4 * TIMEOUT_SECONDS)
+	void keptConnectionHoldsNoRequestThatWasAnswered() throws Exception {
+		String request = "POST /a/b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+		List<WeakReference<CallerChannel>> answered = new ArrayList<>();
+		try (Socket socket = connect(request)) {
+			for (int number = 0; number < 20; number++) {
+				answered.add(new WeakReference<>(answerRequest()));
+				readUntil(socket, "ok");
+				socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			}
+			takeRequest();
+			long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+			while (countHeld(answered) > 0 && System.nanoTime() - deadline < 0) {
+				System.gc();
+			}
+			Truth.assertThat(countHeld(answered)).isEqualTo(0);
+		}
+	}
+
+	private CallerChannel answerRequest() throws Exception {
+		CallerChannel caller = takeRequest().caller();
+		caller.begin(200, List.of(), 2);
+		caller.write("ok".getBytes(StandardCharsets.ISO_8859_1));
+		caller.end();
+		return caller;
+	}
+
+	private static long countHeld(List<WeakReference<CallerChannel>> references) {
+		return references.stream().filter((reference) -> reference.get() != null).count();
+	}
+
 	private static String readUntil(Socket socket, String end) throws IOException {
 		ByteArrayOutputStream read = new ByteArrayOutputStream();
 		while (!read.toString(StandardCharsets.ISO_8859_1).endsWith(end)) {
