End a request that its endpoint does not read

HttpConnection.send closes the connection when its time is over and fails with a SocketTimeoutException, which the caller gets as 504. Requests up to 16 KB, which the send buffer takes at once, are not watched.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -107,7 +107,7 @@
 		long sentAt = this.connections.now();
 		boolean answered = false;
 		try {
-			connection.send(encodeHead(), this.outbound.request().body());
+			connection.send(encodeHead(), this.outbound.request().body(), this.limits.firstByteMilliseconds());
 			AnswerHead answer = readMatchingHead(connection, reused);
 			answered = true;
 			keepAliveSeconds = answer.closing() ? 0 : answer.keepAliveSeconds();
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -62,6 +62,9 @@
 
 	private static final long ENDLESS_TIMEOUT_SECONDS = 30;
 
+	/** More than the sockets of both sides buffer if nothing is read. */
+	private static final int UNBUFFERED_BYTES = 32 * 1024 * 1024;
+
 	private final MonotonicClock clock = MonotonicClock.SystemClock.INSTANCE;
 
 	private final EndpointDirectory directory = new EndpointDirectory(this.clock, this::log);
@@ -229,6 +232,23 @@
 			.isEqualTo(status == 200 || status == 500 || answer.contains("504"));
 	}
 
+	/**
+	 * Guards against a caller who gets no answer because an endpoint hangs while the body
+	 * of the request is sent to it (CONFIG).
+	 */
+	@Test
+	@Timeout(ENDLESS_TIMEOUT_SECONDS)
+	void callerIsAnsweredIfTheEndpointDoesNotReadTheBody() throws IOException {
+		route(Execution.AT_MOST_ONCE, 1);
+		try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			list(new ServedEndpoint("e", 1, "pool", "127.0.0.1", hanging.getLocalPort(), "domain", 8, false,
+					ServedEndpoint.Holdings.NONE));
+			send(request(null, null, List.of(), "x".repeat(UNBUFFERED_BYTES)));
+		}
+		Truth.assertThat(this.caller.status()).isEqualTo(504);
+		Truth.assertThat(this.caller.isComplete()).isTrue();
+	}
+
 	/**
 	 * Guards against orders that are sent into one silent connection after the other:
 	 * those that were idle before an unanswered request may be silent as well.
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpConnection.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpConnection.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
@@ -45,6 +46,9 @@
 
 	private static final int BUFFER_BYTES = 8 * 1024;
 
+	/** A request that the send buffer of an idle connection takes at once. */
+	private static final int UNWATCHED_BYTES = 16 * 1024;
+
 	private final SocketChannel channel;
 
 	private final InputStream input;
@@ -108,16 +112,45 @@
 	}
 
 	/**
-	 * Writes a complete request.
+	 * Writes a complete request. A connection whose other side does not read in time is
+	 * closed.
 	 * @param head the request line and headers, including the terminating empty line
 	 * @param body the body
+	 * @param timeoutMilliseconds the time in which the request has to be written
+	 * @throws SocketTimeoutException if the request was not written in time
 	 * @throws IOException if the connection failed; part of the request may have been
 	 * sent
 	 */
-	public void send(byte[] head, byte[] body) throws IOException {
+	public void send(byte[] head, byte[] body, long timeoutMilliseconds) throws IOException {
 		byte[] request = new byte[head.length + body.length];
 		System.arraycopy(head, 0, request, 0, head.length);
 		System.arraycopy(body, 0, request, head.length, body.length);
+		if (request.length <= UNWATCHED_BYTES) {
+			write(request);
+			return;
+		}
+		CompletableFuture<Boolean> written = new CompletableFuture<Boolean>().completeOnTimeout(false,
+				Math.max(0, timeoutMilliseconds), TimeUnit.MILLISECONDS);
+		written.thenAccept((inTime) -> {
+			if (!inTime) {
+				close();
+			}
+		});
+		try {
+			write(request);
+		}
+		catch (IOException ex) {
+			if (written.complete(true)) {
+				throw ex;
+			}
+		}
+		if (!written.complete(true) && !written.join()) {
+			throw new SocketTimeoutException(
+					"request of " + request.length + " bytes not taken within " + timeoutMilliseconds + " ms");
+		}
+	}
+
+	private void write(byte[] request) throws IOException {
 		ByteBuffer bytes = ByteBuffer.wrap(request);
 		while (bytes.hasRemaining()) {
 			this.channel.write(bytes);
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -179,9 +179,9 @@
 	private AnswerHead exchange(HttpConnection opened) throws IOException {
 		byte[] head = encodeHead();
 		this.point = Point.IN_REQUEST;
-		opened.send(head, this.call.body());
-		this.point = Point.AWAITING_ANSWER;
 		long timeoutMilliseconds = this.call.timeout().toMillis();
+		opened.send(head, this.call.body(), timeoutMilliseconds);
+		this.point = Point.AWAITING_ANSWER;
 		AnswerHead answer = opened.readHead(timeoutMilliseconds);
 		this.point = Point.IN_ANSWER;
 		callBack(() -> this.listener.onHead(answer.status(), toMap(answer)));
