--- a/serving/src/main/java/org/masticshelf/serving/upstream/package-info.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/package-info.java
@@ -1,5 +1,5 @@
 /**
- * HTTP/1.1 exchanges with endpoints, in which the forwarder sees every byte.
+ * The connections to endpoints and what the platform's protocol adds to requests and answers.
  */
 @NullMarked
 package org.masticshelf.serving.upstream;
--- a/transport/src/main/java/org/masticshelf/transport/http/package-info.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/package-info.java
@@ -1,5 +1,5 @@
 /**
- * HTTP client and JSON server on Undertow.
+ * HTTP client on virtual threads, and JSON server on Undertow.
  */
 @NullMarked
 package org.masticshelf.transport.http;
