--- a/serving/src/main/java/org/masticshelf/serving/upstream/package-info.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The connections to endpoints and what the platform's protocol adds to requests and answers.
+ * The connections to endpoints and what the platform's protocol adds to requests and
+ * answers.
  */
 @NullMarked
 package org.masticshelf.serving.upstream;
