Expect loads from host memory only while the copy is there

Each load of a rare model evicts older copies from an engine's host memory. The placing daemon kept every model it had loaded as a copy in memory, so it expected a load from disk to end 0.3 s too early.

HostMemory bounds the copies by the engine's stated memory (hostMb) between reports. Without hostMb nothing changes.

Loads from the weight store are counted by StoreLoads: those of lost engines go on counting for their expected time, loads that begin together are paired with the order in which they end, and a load that is overdue lowers the number of loads at once before it ends.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/StoreThroughput.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/StoreThroughput.java
@@ -71,6 +71,18 @@
 		return new StoreThroughput(raised ? best + 1 : best, loads);
 	}
 
+	/**
+	 * Learns from a load that is still in progress although it would have ended at full
+	 * speed.
+	 * @param concurrentLoads the number of loads in progress when it began, including
+	 * itself
+	 * @return the new estimate, at least 1
+	 */
+	public StoreThroughput learnOverdue(int concurrentLoads) {
+		return (concurrentLoads > this.loadsAtFullSpeed) ? this
+				: new StoreThroughput(Math.max(1, concurrentLoads - 1), this.latest);
+	}
+
 	// Of numbers that agree equally well, a slow load speaks for the lowest one, and a
 	// load at full speed for no change.
 	private int findBest(List<CompletedLoad> loads, boolean slow) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineState.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.masticshelf.kernel.residency.EngineSnapshot;
+import org.masticshelf.kernel.residency.HostMemory;
 import org.masticshelf.kernel.residency.ResidencyStep;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -39,7 +40,7 @@
 
 	private final Map<String, Set<String>> loaded = new HashMap<>();
 
-	private final Set<String> inMemory = new HashSet<>();
+	private final HostMemory hostMemory = new HostMemory();
 
 	private final Set<String> onDisk = new HashSet<>();
 
@@ -51,6 +52,8 @@
 
 	private Map<String, Integer> running = Map.of();
 
+	private @Nullable EngineProfile profile;
+
 	private long ordersTaken;
 
 	private boolean known;
@@ -61,8 +64,6 @@
 
 	private long modelStepEndsAtMilliseconds;
 
-	private boolean loadStarted;
-
 	private long reportRequestedAt = Long.MIN_VALUE;
 
 	private long orderedAt;
@@ -151,8 +152,7 @@
 				this.lastUsedAt.put(model, now);
 			}
 		});
-		this.inMemory.clear();
-		this.inMemory.addAll(report.holdings().inMemory());
+		this.hostMemory.applyReport(report.holdings().inMemory(), this::modelMegabytes);
 		this.onDisk.clear();
 		this.onDisk.addAll(report.holdings().onDisk());
 		this.changed |= !this.known || !previous.equals(this.loaded);
@@ -170,7 +170,6 @@
 		this.orderPending = true;
 		if (step instanceof ResidencyStep.Load load && load.loadable().adapter() == null) {
 			this.modelStep = load;
-			this.loadStarted = false;
 			this.modelStepEndsAtMilliseconds = now + load.milliseconds()
 					+ (load.victims().isEmpty() ? 0 : UNLOADING_MILLISECONDS);
 		}
@@ -187,21 +186,11 @@
 
 	/**
 	 * Records that the engine has started to load the weights of a model.
-	 * @param load the step
+	 * @param expectedMilliseconds how long the load is expected to take
 	 * @param now the monotonic time in milliseconds
 	 */
-	void recordLoadStarted(ResidencyStep.Load load, long now) {
-		this.modelStepEndsAtMilliseconds = now + load.milliseconds();
-		this.loadStarted = true;
-	}
-
-	/**
-	 * Returns whether the engine has started to load the weights of a model from the
-	 * weight store.
-	 * @return whether such a load is in progress
-	 */
-	boolean isLoadingFromStore() {
-		return this.modelStep != null && this.loadStarted && this.modelStep.source() == ResidencyStep.Source.STORE;
+	void recordLoadStarted(long expectedMilliseconds, long now) {
+		this.modelStepEndsAtMilliseconds = now + expectedMilliseconds;
 	}
 
 	/**
@@ -235,7 +224,8 @@
 	 */
 	void recordPresumedLoad(LoadableName loadable, long now) {
 		recordLoaded(loadable, now);
-		this.inMemory.add(loadable.model());
+		double capacity = (this.profile != null) ? this.profile.hostMegabytes() : 0;
+		this.hostMemory.recordLoad(loadable.model(), modelMegabytes(loadable.model()), capacity);
 		this.presumed = true;
 	}
 
@@ -307,7 +297,7 @@
 	Holdings holdings() {
 		Map<String, Set<String>> copy = new HashMap<>();
 		this.loaded.forEach((model, adapters) -> copy.put(model, Set.copyOf(adapters)));
-		return new Holdings(copy, this.inMemory, this.onDisk);
+		return new Holdings(copy, this.hostMemory.models(), this.onDisk);
 	}
 
 	/**
@@ -317,6 +307,7 @@
 	 * @return the engine for the planner
 	 */
 	EngineSnapshot toEngine(EngineProfile profile, long now) {
+		this.profile = profile;
 		Map<String, EngineSnapshot.LoadedModel> residents = new HashMap<>();
 		this.loaded.forEach((model, adapters) -> {
 			int count = this.runningByModel.getOrDefault(model, 0);
@@ -335,7 +326,11 @@
 		long freeIn = (step != null) ? Math.max(1, this.modelStepEndsAtMilliseconds - now) : 0;
 		String loading = (step != null) ? step.loadable().model() : "";
 		return new EngineSnapshot(this.endpoint.identifier(), this.endpoint.failureDomain(), profile.megabytes(),
-				profile.adapterSlots(), residents, this.inMemory, this.onDisk, freeIn, loading);
+				profile.adapterSlots(), residents, this.hostMemory.models(), this.onDisk, freeIn, loading);
+	}
+
+	private double modelMegabytes(String model) {
+		return (this.profile != null) ? this.profile.modelMegabytes(model) : 0;
 	}
 
 	private long idleMilliseconds(String loadable, long now) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -22,6 +22,7 @@
 import org.masticshelf.kernel.residency.ResidencyPlan;
 import org.masticshelf.kernel.residency.ResidencyPlanner;
 import org.masticshelf.kernel.residency.ResidencyStep;
+import org.masticshelf.kernel.residency.StoreLoads;
 import org.masticshelf.kernel.residency.StoreThroughput;
 import org.masticshelf.kernel.residency.UnservedDemand;
 import org.masticshelf.kernel.residency.WaitingDemand;
@@ -104,6 +105,8 @@
 
 	private StoreThroughput storeThroughput;
 
+	private final StoreLoads storeLoads = new StoreLoads();
+
 	private final StepExecution execution;
 
 	private final Semaphore wakeUpPermits = new Semaphore(0);
@@ -225,6 +228,7 @@
 		synchronized (this) {
 			long now = this.clock.milliseconds();
 			refreshEngines(currentTables, now, actions);
+			learnOverdueStoreLoads(now);
 			Map<String, Long> previous = Map.copyOf(this.readyIn);
 			this.readyIn.clear();
 			Demand demand = this.demand.get();
@@ -266,6 +270,7 @@
 			if (tenure == null) {
 				this.settlingFencing = null;
 				this.engines.clear();
+				this.storeLoads.clear();
 				this.readyIn.clear();
 				this.unserved.clear();
 				this.fetched.clear();
@@ -282,29 +287,37 @@
 	}
 
 	/**
-	 * Counts the loads from the weight store in progress.
-	 * @return the number of engines that load from it
+	 * Records that an engine has begun a load from the weight store.
+	 * @param load the load
+	 * @return how long it is expected to take, in milliseconds
 	 */
-	synchronized int countStoreLoads() {
-		int count = 0;
-		for (EngineState state : this.engines.values()) {
-			count += state.isLoadingFromStore() ? 1 : 0;
-		}
-		return count;
+	synchronized long beginStoreLoad(ResidencyStep.Load load) {
+		return this.storeLoads.begin(load.endpoint(), load.milliseconds(), this.storeThroughput.loadsAtFullSpeed(),
+				this.clock.milliseconds());
+	}
+
+	/**
+	 * Records that the engine of a load from the weight store was lost.
+	 * @param load the load
+	 */
+	synchronized void recordLostStoreLoad(ResidencyStep.Load load) {
+		this.storeLoads.recordLostEngine(load.endpoint());
 	}
 
 	/**
 	 * Learns from a completed load how many loads the weight store serves at full speed.
 	 * @param load the load
 	 * @param tookMilliseconds how long it took
-	 * @param concurrentLoads the number of loads in progress when it began
 	 */
-	void learnStoreLoad(ResidencyStep.Load load, long tookMilliseconds, int concurrentLoads) {
+	void completeStoreLoad(ResidencyStep.Load load, long tookMilliseconds) {
 		StoreThroughput before;
 		StoreThroughput after;
+		int concurrentLoads;
 		synchronized (this) {
+			concurrentLoads = this.storeLoads.complete(load.endpoint());
 			before = this.storeThroughput;
-			after = before.learn(tookMilliseconds, load.milliseconds(), concurrentLoads);
+			after = (concurrentLoads > 0) ? before.learn(tookMilliseconds, load.milliseconds(), concurrentLoads)
+					: before;
 			this.storeThroughput = after;
 		}
 		if (!after.equals(before)) {
@@ -341,6 +354,19 @@
 		this.engines.keySet().retainAll(present);
 	}
 
+	private void learnOverdueStoreLoads(long now) {
+		int before = this.storeThroughput.loadsAtFullSpeed();
+		int concurrent = this.storeLoads.findOverdue(before, now);
+		if (concurrent > 0) {
+			this.storeThroughput = this.storeThroughput.learnOverdue(concurrent);
+			this.log.accept(Event.named("placement.store_throughput")
+				.with("loads", this.storeThroughput.loadsAtFullSpeed())
+				.with("before", before)
+				.with("overdue", true)
+				.with("concurrent", concurrent));
+		}
+	}
+
 	private long reportInterval(EngineState state, ServedEndpoint endpoint) {
 		if (!state.isKnown()) {
 			return UNKNOWN_REPORT_INTERVAL_MILLISECONDS;
@@ -356,7 +382,7 @@
 		List<EngineSnapshot> usable = new ArrayList<>();
 		List<EngineSnapshot> snapshots = new ArrayList<>();
 		boolean complete = now - this.newEngineAt > LIST_COMPLETE_MILLISECONDS;
-		int storeLoads = 0;
+		int storeLoads = this.storeLoads.countLost(now);
 		long nextStoreLoad = Long.MAX_VALUE;
 		for (EngineState state : this.engines.values()) {
 			if (!state.endpoint().pool().equals(pool)) {
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -162,7 +162,9 @@
 			if (answer == OrderAnswer.ACCEPTED) {
 				synchronized (this.placement) {
 					state.recordAcceptedOrder(this.clock.milliseconds());
-					state.recordLoadStarted(step, this.clock.milliseconds());
+					state.recordLoadStarted(
+							isFromStore(step) ? this.placement.beginStoreLoad(step) : step.milliseconds(),
+							this.clock.milliseconds());
 					state.endOrder();
 				}
 				awaitLoad(state, step);
@@ -241,11 +243,14 @@
 		return answer;
 	}
 
+	private static boolean isFromStore(ResidencyStep.Load load) {
+		return load.source() == ResidencyStep.Source.STORE;
+	}
+
 	private void awaitLoad(EngineState state, ResidencyStep.Load load) {
 		long begunAt = this.clock.milliseconds();
-		int storeLoads = this.placement.countStoreLoads();
 		long overdueAt = begunAt + OVERDUE_FACTOR * load.milliseconds() + OVERDUE_MILLISECONDS;
-		boolean local = load.source() != ResidencyStep.Source.STORE;
+		boolean local = !isFromStore(load);
 		long dueAt = begunAt + load.milliseconds() + (local ? LOCAL_SLACK_MILLISECONDS : 0);
 		int missing = 0;
 		while (!this.placement.isStopped() && this.clock.milliseconds() < overdueAt
@@ -260,7 +265,7 @@
 			boolean presumable = local && this.clock.milliseconds() >= dueAt;
 			if (report != null && endLoad(state, load, report, presumable)) {
 				if (!local) {
-					this.placement.learnStoreLoad(load, this.clock.milliseconds() - begunAt, storeLoads);
+					this.placement.completeStoreLoad(load, this.clock.milliseconds() - begunAt);
 				}
 				return;
 			}
@@ -270,6 +275,7 @@
 			.with("loadable", load.loadable())
 			.with("missing_reports", missing));
 		synchronized (this.placement) {
+			this.placement.recordLostStoreLoad(load);
 			state.markUnknown();
 			state.recordUnloaded(load.loadable());
 		}
--- a/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/placement/PlacementTests.java
@@ -63,7 +63,7 @@
 		}
 		FakeEngineOrders engines = new FakeEngineOrders(sizes, ENGINE_MEGABYTES, seed);
 		engines.setUnansweredShare(unansweredShare);
-		EngineProfile profile = new EngineProfile(ENGINE_MEGABYTES, 8, 1_000, 1, models);
+		EngineProfile profile = new EngineProfile(ENGINE_MEGABYTES, 0, 8, 1_000, 1, models);
 		ServedTables tables = new ServedTables(1, List.of(), Map.of("pool", new ServedPool("pool", 10, profile)),
 				Map.of(), false, new ServedTables.Limits(1, 1));
 		List<ServedEndpoint> endpoints = new ArrayList<>();
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -812,7 +812,7 @@
 	}
 
 	private static EngineProfile engine() {
-		return new EngineProfile(1_000, 8, 100_000, 1, Map.of());
+		return new EngineProfile(1_000, 0, 8, 100_000, 1, Map.of());
 	}
 
 	@ParameterizedTest
