Leave evacuated failure domains out of choice and placement

Cause: operators could not empty a failure domain; the only way was to stop its endpoints, which breaks what runs there.

Change: the keys op/evacuate/<failure domain> are read with the tables and passed on before them; tables wait for the first complete list of the keys, because the first answer of the watch has the tables alone. The directory leaves the endpoints out of everything that requests, retries, resumed streams and the placement look at; each order is checked once more before it is sent. After the store's return from an older copy a missing evacuation stays in force for 5 s.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -30,8 +30,10 @@
 import org.masticshelf.serving.endpoint.EndpointDirectory;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
+import org.masticshelf.serving.endpoint.Evacuations;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
+import org.masticshelf.serving.placement.EvacuationAwareOrders;
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
@@ -91,6 +93,9 @@
 
 	private final EndpointLoads loads = new EndpointLoads(this.clock);
 
+	private final Evacuations evacuations = new Evacuations(this.directory, this.loads::requestsIn, this.clock,
+			EventLog::info);
+
 	private final EndpointConnections connections = new EndpointConnections(this.clock);
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
@@ -156,8 +161,9 @@
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
 				EventLog::info);
 		this.placement = new Placement(this.placementDuty,
-				new Placement.Access(ports.orders(), this.directory, this.loads::isInSilentDomain), this::tables,
-				this::demand, this.clock,
+				new Placement.Access(new EvacuationAwareOrders(ports.orders(), this.evacuations::isEvacuated),
+						this.directory, this.loads::isInSilentDomain),
+				this::tables, this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
 		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
@@ -169,6 +175,7 @@
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
+		ServingMetrics.registerEvacuations(this.metrics, this.evacuations);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
 		this.directory.addListener(this.waitingRequests::signal);
@@ -197,6 +204,7 @@
 				this.settings.probes(), this::isReady, this.metrics, this::bodyLimit), this.ports.requests(),
 				this.forwarder);
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
+		this.ports.desiredState().followEvacuations(this.evacuations::apply);
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
 		scheduleEvery(PEER_INTERVAL_MILLISECONDS, () -> this.peerExchange.round(this.lease.heldIdentifier() != 0));
@@ -210,13 +218,14 @@
 		this.scheduler.scheduleWithFixedDelay(() -> runSafely(round), 0, milliseconds, TimeUnit.MILLISECONDS);
 	}
 
-	// One task instead of five wakes the process up less often.
+	// One task instead of several wakes the process up less often.
 	private void controlRound() {
 		runSafely(this.lease::round);
 		runSafely(this.memberView::round);
 		runSafely(this.dutyView::round);
 		runSafely(this.members::round);
 		runSafely(this.duties::round);
+		runSafely(this.evacuations::round);
 		runSafely(() -> this.quarantineRecord.round(isRecordingQuarantine()));
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/ServingPorts.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingPorts.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.kernel.serving.EvacuatedDomains;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.serving.caller.RequestCodec;
@@ -26,6 +27,15 @@
 	/** The source of the tables and of the list of endpoints. */
 	public interface DesiredState {
 
+		/**
+		 * Sets the receiver of the evacuated failure domains. It is called with them
+		 * before the first version of the tables is passed on. A source that knows no
+		 * evacuations never calls it.
+		 * @param evacuations called with the failure domains after each change
+		 */
+		default void followEvacuations(Consumer<EvacuatedDomains> evacuations) {
+		}
+
 		/**
 		 * Starts to follow the tables and the list of endpoints.
 		 * @param scheduler the scheduler for periodic tasks
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
@@ -24,7 +24,8 @@
  * The list comes from the platform; engines' holdings are also announced by the placing
  * daemon, which knows them earlier. Invariants: an endpoint that was seen leaving gets no
  * new request until it restarts; a description from before a restart never replaces one
- * from after it. Thread-safe; listeners are called without the lock held.
+ * from after it; endpoints in evacuated failure domains are listed, but never returned.
+ * Thread-safe; listeners are called without the lock held.
  */
 public final class EndpointDirectory {
 
@@ -53,6 +54,8 @@
 
 	private final Map<String, Map<LoadableName, Long>> lacking = new HashMap<>();
 
+	private Set<String> evacuated = Set.of();
+
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
 	private final List<Consumer<ServedEndpoint>> removalListeners = new CopyOnWriteArrayList<>();
@@ -152,6 +155,20 @@
 		}
 	}
 
+	/**
+	 * Sets the evacuated failure domains. Their endpoints accept no new requests.
+	 * @param domains the names of the failure domains
+	 */
+	public void setEvacuated(Set<String> domains) {
+		synchronized (this) {
+			if (domains.equals(this.evacuated)) {
+				return;
+			}
+			this.evacuated = Set.copyOf(domains);
+		}
+		this.listeners.forEach(Runnable::run);
+	}
+
 	/**
 	 * Records that an endpoint has said that it is leaving. It gets no new request until
 	 * it restarts, whatever its description says.
@@ -188,7 +205,7 @@
 	public synchronized List<ServedEndpoint> inPool(String pool) {
 		List<ServedEndpoint> endpoints = new ArrayList<>();
 		for (ServedEndpoint endpoint : this.listed.values()) {
-			if (endpoint.pool().equals(pool) && !isLeaving(endpoint)) {
+			if (endpoint.pool().equals(pool) && isAccepting(endpoint)) {
 				endpoints.add(endpoint);
 			}
 		}
@@ -217,7 +234,7 @@
 	 */
 	public synchronized @Nullable ServedEndpoint find(String identifier) {
 		ServedEndpoint endpoint = this.listed.get(identifier);
-		return (endpoint != null && !isLeaving(endpoint)) ? endpoint : null;
+		return (endpoint != null && isAccepting(endpoint)) ? endpoint : null;
 	}
 
 	/**
@@ -237,6 +254,10 @@
 		return recent ? announcement.announced().holdings() : endpoint.holdings();
 	}
 
+	private boolean isAccepting(ServedEndpoint endpoint) {
+		return !isLeaving(endpoint) && !this.evacuated.contains(endpoint.failureDomain());
+	}
+
 	private boolean isLeaving(ServedEndpoint endpoint) {
 		return this.leavingStartTimes.getOrDefault(endpoint.identifier(), Long.MIN_VALUE) >= endpoint.startedAt();
 	}
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
@@ -49,6 +49,8 @@
 
 	private final Map<String, Load> loads = new HashMap<>();
 
+	private final Map<String, Integer> requestsByDomain = new HashMap<>();
+
 	private Map<String, Map<String, Integer>> peerRequests = Map.of();
 
 	private Set<String> silentDomains = Set.of();
@@ -70,6 +72,7 @@
 	public synchronized void recordStart(ServedEndpoint endpoint, @Nullable LoadableName loadable, long tokens) {
 		Load load = this.loads.computeIfAbsent(endpoint.identifier(), (key) -> new Load());
 		load.requests++;
+		this.requestsByDomain.merge(endpoint.failureDomain(), 1, Integer::sum);
 		load.tokens += tokens;
 		load.running.merge((loadable != null) ? loadable.toString() : "", 1, Integer::sum);
 	}
@@ -83,6 +86,7 @@
 	public synchronized void recordEnd(ServedEndpoint endpoint, @Nullable LoadableName loadable, long tokens) {
 		Load load = this.loads.computeIfAbsent(endpoint.identifier(), (key) -> new Load());
 		load.requests--;
+		this.requestsByDomain.merge(endpoint.failureDomain(), -1, Integer::sum);
 		load.tokens -= tokens;
 		String name = (loadable != null) ? loadable.toString() : "";
 		load.running.computeIfPresent(name, (key, count) -> (count > 1) ? Integer.valueOf(count - 1) : null);
@@ -203,6 +207,15 @@
 		return this.silentDomains.contains(endpoint.failureDomain());
 	}
 
+	/**
+	 * Returns the number of requests that this daemon has running in a failure domain.
+	 * @param domain the failure domain
+	 * @return the number, also of endpoints that are not listed any more
+	 */
+	public synchronized int requestsIn(String domain) {
+		return this.requestsByDomain.getOrDefault(domain, 0);
+	}
+
 	/**
 	 * Returns the requests that this daemon has running.
 	 * @return the number of requests by endpoint and model or adapter
--- a/serving/src/main/java/org/masticshelf/serving/placement/EngineOrders.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/EngineOrders.java
@@ -64,7 +64,10 @@
 		INVALID,
 
 		/** There was no answer, or the order was not sent. */
-		UNANSWERED
+		UNANSWERED,
+
+		/** The order was not sent, as the engine's failure domain is evacuated. */
+		EVACUATED
 
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -8,6 +8,7 @@
 
 import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.serving.endpoint.EndpointLimits;
+import org.masticshelf.serving.endpoint.Evacuations;
 import org.masticshelf.serving.placement.StarvationMonitor;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
 
@@ -78,6 +79,19 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metric of evacuated failure domains.
+	 * @param registry the registry
+	 * @param evacuations the source of the values
+	 */
+	public static void registerEvacuations(PrometheusRegistry registry, Evacuations evacuations) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_evacuated_domains")
+			.help("Failure domains whose endpoints get no requests, because operators have evacuated them.")
+			.callback((callback) -> callback.call(evacuations.size()))
+			.register(registry);
+	}
+
 	/**
 	 * Registers the metrics of models and adapters that are requested and not served.
 	 * They are known to the placing daemon and 0 at all others.
