Limit requests to cold endpoints over all daemons

Cause: an endpoint that has just started, or turned cold, crashes above a few requests a second; daemons sent to it as to any other, and preferred it for its low load.

Change: pools may state coldStartS and coldPerS. Entries, answers, the first sight of a new run and peers tell which endpoints are cold; LimitShare.ofCold sizes shares for one second, so that two halves of the daemons stay within the bound together. EndpointLimits carries the limit beside the stated one, and gossip carries what answers say. After a gap of more than 1 s in its rounds a daemon limits all endpoints of such pools until it has read their entries again. Endpoints whose evacuation is taken back count as cold.

--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedEndpoint.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedEndpoint.java
@@ -16,9 +16,28 @@
  * @param slots the number of requests that it processes concurrently
  * @param leaving whether it must receive no new requests
  * @param holdings the models and adapters that it holds, empty for a plain service
+ * @param coldRemainingMilliseconds how long it is still cold, 0 if it is warm, negative
+ * if it does not say
  */
 public record ServedEndpoint(String identifier, long startedAt, String pool, String host, int port,
-		String failureDomain, int slots, boolean leaving, Holdings holdings) {
+		String failureDomain, int slots, boolean leaving, Holdings holdings, long coldRemainingMilliseconds) {
+
+	/**
+	 * Creates the description of a warm endpoint.
+	 * @param identifier its identifier, usually new at each start
+	 * @param startedAt its start time by the wall clock in milliseconds
+	 * @param pool the name of the pool that it serves
+	 * @param host the address without the port
+	 * @param port the port
+	 * @param failureDomain its failure domain
+	 * @param slots the number of requests that it processes concurrently
+	 * @param leaving whether it must receive no new requests
+	 * @param holdings the models and adapters that it holds
+	 */
+	public ServedEndpoint(String identifier, long startedAt, String pool, String host, int port, String failureDomain,
+			int slots, boolean leaving, Holdings holdings) {
+		this(identifier, startedAt, pool, host, port, failureDomain, slots, leaving, holdings, 0);
+	}
 
 	/**
 	 * Returns the address.
--- a/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
@@ -41,15 +41,38 @@
 	public static LimitShare of(double requestsPerSecond, String endpoint, String self, Collection<String> peers) {
 		double limit = Math.max(MINIMUM_REQUESTS_PER_SECOND, requestsPerSecond);
 		long holders = (long) Math.min(peers.size() + 1, HOLDERS_PER_REQUEST_PER_SECOND * limit + MINIMUM_HOLDERS);
-		long ownWeight = weight(endpoint, self);
-		long ahead = peers.stream().filter((peer) -> isAhead(weight(endpoint, peer), peer, ownWeight, self)).count();
-		if (ahead >= holders) {
+		if (countAhead(endpoint, self, peers) >= holders) {
 			return NONE;
 		}
 		double rate = limit / holders;
 		return new LimitShare(rate, Math.max(1, rate * BURST_SECONDS));
 	}
 
+	/**
+	 * Returns the share of a daemon in what a cold endpoint tolerates. The holders'
+	 * bursts of one request and their rates together stay within half of the bound for
+	 * one second, so that two halves of the daemons that do not see each other stay
+	 * within it.
+	 * @param requestsPerSecond the requests a second that the endpoint tolerates
+	 * @param bound how many requests it may get within one second
+	 * @param endpoint identifies the run of the endpoint
+	 * @param self the incarnation of the daemon
+	 * @param peers the incarnations of its peers
+	 * @return the share
+	 */
+	public static LimitShare ofCold(double requestsPerSecond, ColdBound bound, String endpoint, String self,
+			Collection<String> peers) {
+		double half = bound.requestsInOneSecond(requestsPerSecond) / 2;
+		long holders = Math.clamp((long) (half / 2), 1, peers.size() + 1);
+		double rate = Math.min(requestsPerSecond, half - holders);
+		return (rate > 0 && countAhead(endpoint, self, peers) < holders) ? new LimitShare(rate / holders, 1) : NONE;
+	}
+
+	private static long countAhead(String endpoint, String self, Collection<String> peers) {
+		long ownWeight = weight(endpoint, self);
+		return peers.stream().filter((peer) -> isAhead(weight(endpoint, peer), peer, ownWeight, self)).count();
+	}
+
 	private static boolean isAhead(long weight, String peer, long ownWeight, String self) {
 		return weight > ownWeight || (weight == ownWeight && peer.compareTo(self) > 0);
 	}
--- a/kernel/src/test/java/org/masticshelf/kernel/share/LimitShareTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/share/LimitShareTests.java
@@ -51,4 +51,26 @@
 		Truth.assertThat(daemonsWithAShare).isEqualTo(39);
 	}
 
+	/**
+	 * Guards against more requests than a cold endpoint withstands within one second,
+	 * also from two halves of the daemons that do not see each other.
+	 * @param daemons the number of daemons
+	 * @param tolerated the requests a second that the endpoint tolerates
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 0.1", "1, 1", "1, 50", "2, 1", "2, 8", "4, 0.5", "4, 8", "34, 1", "34, 8", "34, 40", "1629, 8",
+			"1629, 300" })
+	void sharesOfColdEndpointStayWithinHalfOfTheBoundInOneSecond(int daemons, double tolerated) {
+		List<String> all = IntStream.range(0, daemons).mapToObj((daemon) -> "daemon-" + daemon).toList();
+		List<LimitShare> shares = all.stream()
+			.map((self) -> LimitShare.ofCold(tolerated, ColdBound.DEFAULT, "e/1", self,
+					all.stream().filter((other) -> !other.equals(self)).toList()))
+			.toList();
+		double rate = shares.stream().mapToDouble(LimitShare::ratePerSecond).sum();
+		double burst = shares.stream().mapToDouble(LimitShare::burst).sum();
+		Truth.assertThat(rate + burst).isAtMost((tolerated * 1.5 + 5) / 2 + 1e-6);
+		Truth.assertThat(rate).isGreaterThan(0);
+		Truth.assertThat(burst).isAtLeast(1);
+	}
+
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -27,6 +27,7 @@
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.caller.ServingListener;
+import org.masticshelf.serving.endpoint.ColdEndpoints;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
@@ -113,6 +114,8 @@
 
 	private final PlannedStop plannedStop;
 
+	private final ColdEndpoints coldEndpoints;
+
 	private final EndpointLimits endpointLimits;
 
 	private final DaemonLease lease;
@@ -156,7 +159,11 @@
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
 		this.plannedStop = new PlannedStop(this.clock, settings.stopMilliseconds());
-		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged);
+		this.coldEndpoints = new ColdEndpoints(new ColdEndpoints.Settings(incarnation, settings.coldBound()),
+				this::tables, this.clock, InstantSource.system(), EventLog::info, this::findingsChanged);
+		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged,
+				this.coldEndpoints);
+		this.evacuations.addTakeBackListener(this.coldEndpoints::presumeCold);
 		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
 				EventLog::info);
@@ -175,6 +182,7 @@
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
+		ServingMetrics.registerColdEndpoints(this.metrics, this.coldEndpoints);
 		ServingMetrics.registerEvacuations(this.metrics, this.evacuations);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
@@ -207,7 +215,7 @@
 		this.ports.desiredState().followEvacuations(this.evacuations::apply);
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
-		scheduleEvery(PEER_INTERVAL_MILLISECONDS, () -> this.peerExchange.round(this.lease.heldIdentifier() != 0));
+		scheduleEvery(PEER_INTERVAL_MILLISECONDS, this::peerRound);
 		this.placement.start();
 		EventLog.info(Event.named("daemon.started")
 			.with("incarnation", this.members.self().incarnation())
@@ -218,6 +226,11 @@
 		this.scheduler.scheduleWithFixedDelay(() -> runSafely(round), 0, milliseconds, TimeUnit.MILLISECONDS);
 	}
 
+	private void peerRound() {
+		runSafely(() -> this.coldEndpoints.round(this.ports.desiredState()::readEndpoints));
+		this.peerExchange.round(this.lease.heldIdentifier() != 0);
+	}
+
 	// One task instead of several wakes the process up less often.
 	private void controlRound() {
 		runSafely(this.lease::round);
@@ -275,6 +288,8 @@
 	}
 
 	private void replaceEndpoints(Collection<ServedEndpoint> endpoints) {
+		// A limit is in force before the endpoint can be chosen.
+		this.coldEndpoints.observe(endpoints);
 		this.directory.replace(endpoints);
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/ServingPorts.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingPorts.java
@@ -1,6 +1,7 @@
 package org.masticshelf.serving;
 
 import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
@@ -45,6 +46,12 @@
 		void follow(ScheduledExecutorService scheduler, Consumer<ServedTables> tables,
 				Consumer<Collection<ServedEndpoint>> endpoints);
 
+		/**
+		 * Reads the entries of endpoints now, rather than from what was read before.
+		 * @return the endpoints that the entries describe
+		 */
+		CompletableFuture<Collection<ServedEndpoint>> readEndpoints();
+
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -1,5 +1,6 @@
 package org.masticshelf.serving;
 
+import org.masticshelf.kernel.share.ColdBound;
 import org.masticshelf.serving.caller.ServingListener.Address;
 
 /**
@@ -14,9 +15,10 @@
  * @param settleMilliseconds how long a new holder of a duty waits before its first order
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
+ * @param coldBound how many requests a cold endpoint may get within one second
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce) {
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -53,6 +55,8 @@
 
 		private int storeLoadsAtOnce = DEFAULT_STORE_LOADS_AT_ONCE;
 
+		private ColdBound coldBound = ColdBound.DEFAULT;
+
 		private Builder() {
 		}
 
@@ -128,13 +132,23 @@
 			return this;
 		}
 
+		/**
+		 * Sets how many requests a cold endpoint may get within one second.
+		 * @param bound the bound
+		 * @return this builder
+		 */
+		public Builder withColdBound(ColdBound bound) {
+			this.coldBound = bound;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLimits.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLimits.java
@@ -1,5 +1,6 @@
 package org.masticshelf.serving.endpoint;
 
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -10,14 +11,16 @@
 
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.ServedEndpoint;
+import org.masticshelf.kernel.share.ColdBound;
 import org.masticshelf.kernel.share.LimitShare;
 import org.masticshelf.kernel.share.SharedTokenBucket;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
+import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
 
 /**
  * The limits that endpoints in need state in their answers, and this daemon's share of
- * each.
+ * each; where an endpoint is also cold, the lower limit applies.
  * <p>
  * Invariants: a share starts empty, so that neither a limit that is learned nor a change
  * of the daemons allows a burst; what is known of a run of an endpoint is forgotten when
@@ -51,6 +54,8 @@
 
 	private Set<String> peers = Set.of();
 
+	private final ColdEndpoints coldEndpoints;
+
 	private boolean changed;
 
 	/**
@@ -61,6 +66,21 @@
 	 * @param listener called when there is news for peers
 	 */
 	public EndpointLimits(String self, MonotonicClock clock, Consumer<Event> log, Runnable listener) {
+		this(self, clock, log, listener, new ColdEndpoints(new ColdEndpoints.Settings(self, ColdBound.DEFAULT),
+				() -> null, clock, InstantSource.system(), log, listener));
+	}
+
+	/**
+	 * Creates an empty set of limits that also limits requests to cold endpoints.
+	 * @param self the incarnation of this daemon
+	 * @param clock the clock
+	 * @param log receives the events
+	 * @param listener called when there is news for peers
+	 * @param coldEndpoints the cold endpoints
+	 */
+	public EndpointLimits(String self, MonotonicClock clock, Consumer<Event> log, Runnable listener,
+			ColdEndpoints coldEndpoints) {
+		this.coldEndpoints = coldEndpoints;
 		this.self = self;
 		this.clock = clock;
 		this.log = log;
@@ -80,11 +100,25 @@
 		}
 	}
 
+	/**
+	 * Records what an endpoint states about itself in an answer.
+	 * @param endpoint the endpoint
+	 * @param metadata the metadata of the answer
+	 */
+	public void learnFrom(ServedEndpoint endpoint, AnswerMetadata metadata) {
+		learn(endpoint, metadata.requestLimit());
+		Long coldRemaining = metadata.coldRemainingMilliseconds();
+		if (coldRemaining != null) {
+			this.coldEndpoints.learn(endpoint, coldRemaining);
+		}
+	}
+
 	/**
 	 * Sets the daemons that share the limits.
 	 * @param incarnations the incarnations of the peers
 	 */
 	public synchronized void setPeers(Set<String> incarnations) {
+		this.coldEndpoints.setPeers(incarnations);
 		if (incarnations.equals(this.peers)) {
 			return;
 		}
@@ -99,6 +133,7 @@
 	 * @param stated the limits that it knows
 	 */
 	public synchronized void merge(String peer, Map<String, PeerMessage.StatedLimit> stated) {
+		this.coldEndpoints.merge(stated);
 		long now = this.clock.milliseconds();
 		stated.forEach((run, report) -> {
 			long at = now - Math.max(0, report.age());
@@ -126,6 +161,7 @@
 			.limit(MAXIMUM_REPORTED_LIMITS)
 			.forEach((entry) -> reports.put(entry.getKey(),
 					new PeerMessage.StatedLimit(entry.getValue().requestsPerSecond, now - entry.getValue().statedAt)));
+		this.coldEndpoints.addReports(reports, MAXIMUM_REPORTED_LIMITS);
 		return reports;
 	}
 
@@ -134,7 +170,7 @@
 	 * @return whether a limit was added, changed or ended
 	 */
 	public synchronized boolean takeChanged() {
-		boolean result = this.changed;
+		boolean result = this.changed | this.coldEndpoints.takeChanged();
 		this.changed = false;
 		return result;
 	}
@@ -146,7 +182,8 @@
 	 */
 	public synchronized boolean tryTake(ServedEndpoint endpoint) {
 		Limit limit = this.limits.get(runOf(endpoint));
-		return limit == null || limit.requestsPerSecond == null || limit.bucket.trySpend(this.clock.milliseconds(), 1);
+		return this.coldEndpoints.tryTake(endpoint) && (limit == null || limit.requestsPerSecond == null
+				|| limit.bucket.trySpend(this.clock.milliseconds(), 1));
 	}
 
 	/**
@@ -155,7 +192,22 @@
 	 * @param ahead the requests that wait here for the same
 	 * @return when a request may be sent
 	 */
-	public synchronized Availability availability(ServedEndpoint endpoint, int ahead) {
+	public Availability availability(ServedEndpoint endpoint, int ahead) {
+		Availability stated = statedAvailability(endpoint, ahead);
+		Availability cold = this.coldEndpoints.availability(endpoint, ahead);
+		return new Availability(stated.here() && cold.here(), Math.max(stated.milliseconds(), cold.milliseconds()));
+	}
+
+	/**
+	 * Returns whether requests to an endpoint are limited because it is cold.
+	 * @param endpoint the endpoint
+	 * @return whether it is cold
+	 */
+	public boolean isCold(ServedEndpoint endpoint) {
+		return this.coldEndpoints.isCold(endpoint);
+	}
+
+	private synchronized Availability statedAvailability(ServedEndpoint endpoint, int ahead) {
 		Limit limit = this.limits.get(runOf(endpoint));
 		if (limit == null || limit.requestsPerSecond == null) {
 			return Availability.NOW;
@@ -174,6 +226,7 @@
 	 */
 	public synchronized void forget(ServedEndpoint endpoint) {
 		this.limits.remove(runOf(endpoint));
+		this.coldEndpoints.forget(endpoint);
 	}
 
 	/**
@@ -217,7 +270,12 @@
 				: LimitShare.NONE;
 	}
 
-	private static String runOf(ServedEndpoint endpoint) {
+	/**
+	 * Returns what identifies the run of an endpoint among daemons.
+	 * @param endpoint the endpoint
+	 * @return its identifier and start time
+	 */
+	static String runOf(ServedEndpoint endpoint) {
 		return endpoint.identifier() + "/" + endpoint.startedAt();
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/Evacuations.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/Evacuations.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 
@@ -33,7 +34,7 @@
 
 	private final Map<String, Evacuation> evacuations = new HashMap<>();
 
-	private final Map<String, Long> takenBack = new HashMap<>();
+	private final List<Consumer<String>> takeBackListeners = new CopyOnWriteArrayList<>();
 
 	/**
 	 * Creates an instance without evacuations.
@@ -51,6 +52,15 @@
 		this.log = log;
 	}
 
+	/**
+	 * Adds a listener that is called with each failure domain whose evacuation is taken
+	 * back, before its endpoints are in the directory again.
+	 * @param listener the listener
+	 */
+	public void addTakeBackListener(Consumer<String> listener) {
+		this.takeBackListeners.add(listener);
+	}
+
 	/**
 	 * Replaces the evacuated failure domains.
 	 * @param evacuated the failure domains that are evacuated from now on
@@ -61,7 +71,7 @@
 		this.evacuations.entrySet().removeIf((entry) -> {
 			boolean ended = !evacuated.names().contains(entry.getKey());
 			if (ended) {
-				this.takenBack.put(entry.getKey(), now);
+				this.takeBackListeners.forEach((listener) -> listener.accept(entry.getKey()));
 				events.add(entry.getValue().event("evacuation.ended", entry.getKey(), now));
 			}
 			return ended;
@@ -69,7 +79,6 @@
 		evacuated.revisions().forEach((domain, revision) -> {
 			Evacuation known = this.evacuations.get(domain);
 			if (known == null) {
-				this.takenBack.remove(domain);
 				Evacuation begun = new Evacuation(revision, now, false);
 				this.evacuations.put(domain, begun);
 				events.add(begun.event("evacuation.begun", domain, now)
@@ -103,17 +112,6 @@
 		return this.evacuations.containsKey(endpoint.failureDomain());
 	}
 
-	/**
-	 * Returns the time since the evacuation of a failure domain was taken back.
-	 * @param domain the failure domain
-	 * @return the time in milliseconds, {@link Long#MAX_VALUE} if it was not evacuated
-	 * since this daemon started
-	 */
-	public synchronized long millisecondsSinceTakenBack(String domain) {
-		Long at = this.takenBack.get(domain);
-		return (at != null) ? this.clock.milliseconds() - at : Long.MAX_VALUE;
-	}
-
 	/**
 	 * Returns the number of evacuated failure domains.
 	 * @return the number
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -54,10 +54,30 @@
 	 * @param requestsPerSecond the requests a second that it takes from all daemons
 	 * together, {@code null} if it states no limit any more
 	 * @param age how long ago it did so, in milliseconds
+	 * @param coldRemaining how long it is still cold, in milliseconds, 0 if it has become
+	 * warm, {@code null} if it did not say
+	 * @param coldAge how long ago it said so, in milliseconds
 	 */
 	@JsonInclude(JsonInclude.Include.NON_NULL)
 	@JsonIgnoreProperties(ignoreUnknown = true)
-	public record StatedLimit(@Nullable Double requestsPerSecond, long age) {
+	public record StatedLimit(@Nullable Double requestsPerSecond, long age, @Nullable Long coldRemaining,
+			@Nullable Long coldAge) {
+
+		/**
+		 * No statement about a limit. Its age makes receivers discard it, also those that
+		 * take a missing limit for the end of one.
+		 */
+		public static final StatedLimit NONE = new StatedLimit(null, 60_000);
+
+		/**
+		 * Creates a statement about a limit alone.
+		 * @param requestsPerSecond the limit, {@code null} if there is none any more
+		 * @param age how long ago the endpoint stated it, in milliseconds
+		 */
+		public StatedLimit(@Nullable Double requestsPerSecond, long age) {
+			this(requestsPerSecond, age, null, null);
+		}
+
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -7,6 +7,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.routing.EndpointSelection;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
@@ -27,6 +28,12 @@
 	/** Requests that may queue at a plain service for each one that it processes. */
 	private static final int MAXIMUM_QUEUED_PER_SLOT = 2;
 
+	/**
+	 * The load penalty, in requests, of a cold endpoint, which is chosen only where warm
+	 * ones have little room left.
+	 */
+	private static final double COLD_PENALTY_REQUESTS = 40;
+
 	private final RequestContext context;
 
 	private final ServedRequest request;
@@ -37,6 +44,8 @@
 
 	private final @Nullable LoadableName loadable;
 
+	private boolean coldLimited;
+
 	EndpointChooser(RequestContext context, ServedRequest request, String pool, @Nullable EngineProfile engine) {
 		this.context = context;
 		this.request = request;
@@ -57,15 +66,30 @@
 			holding.removeIf((endpoint) -> avoided.contains(endpoint.identifier()));
 		}
 		List<EndpointSelection.Candidate> candidates = new ArrayList<>();
+		ServedEndpoint heldBackFrom = null;
 		for (ServedEndpoint endpoint : holding) {
 			EndpointLoads.View view = this.context.loads().view(endpoint);
-			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
-					|| this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0;
+			boolean cold = this.context.endpointLimits().isCold(endpoint);
+			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view);
+			if (!full && this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0) {
+				full = true;
+				heldBackFrom = cold ? endpoint : heldBackFrom;
+			}
 			candidates.add(new EndpointSelection.Candidate(endpoint.identifier(), view.own() + view.elsewhere(),
-					endpoint.failureDomain().equals(this.context.failureDomain()), full, view.penalty()));
+					endpoint.failureDomain().equals(this.context.failureDomain()), full,
+					view.penalty() + (cold ? COLD_PENALTY_REQUESTS : 0)));
 		}
 		EndpointSelection.Candidate chosen = EndpointSelection.choose(candidates, this.request.sharedPrompt(),
 				ThreadLocalRandom.current().nextInt());
+		if (chosen == null && heldBackFrom != null && !this.coldLimited) {
+			this.coldLimited = true;
+			this.context.metrics().recordColdLimited();
+			this.context.log()
+				.accept(Event.named("request.cold_limited")
+					.with("id", this.request.identifier())
+					.with("endpoint", heldBackFrom.identifier())
+					.with("loadable", this.loadable));
+		}
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -11,8 +11,6 @@
 import java.util.Locale;
 import java.util.Set;
 
-import org.jspecify.annotations.Nullable;
-
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRequest.Header;
@@ -178,7 +176,7 @@
 			throws IOException {
 		AnswerMetadata metadata = this.protocol.answerMetadata(answer);
 		if (metadata.requestIdentifier() != null && !metadata.otherEndpoint()) {
-			this.limits.recordRequestLimit(metadata.requestLimit());
+			this.limits.recordStatements(metadata);
 		}
 		if (metadata.leaving() && !metadata.otherEndpoint()) {
 			this.limits.recordLeaving();
@@ -309,11 +307,10 @@
 		long gapMilliseconds();
 
 		/**
-		 * Records the limit that the endpoint states in its answer.
-		 * @param requestsPerSecond the requests a second that it takes from all daemons
-		 * together, {@code null} for no limit
+		 * Records what the endpoint states about the requests that it takes.
+		 * @param metadata the metadata of its answer
 		 */
-		void recordRequestLimit(@Nullable Double requestsPerSecond);
+		void recordStatements(AnswerMetadata metadata);
 
 		/** Records that the endpoint is leaving. */
 		void recordLeaving();
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -19,6 +19,7 @@
 import org.masticshelf.serving.quarantine.RequestFingerprints;
 import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
 import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
+import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
 /**
@@ -167,6 +168,7 @@
 	private @Nullable ServedEndpoint awaitEndpoint() {
 		WaitingRequests.Entry entry = null;
 		ReadinessEstimate estimate = ReadinessEstimate.NONE;
+		EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(), admitted().pool().engine());
 		try {
 			while (true) {
 				if (this.caller.isGone()) {
@@ -184,8 +186,6 @@
 					giveUpQuarantined(finding);
 					return null;
 				}
-				EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(),
-						admitted().pool().engine());
 				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
 				if (endpoint != null) {
 					return refuseIfStopping(endpoint, 0) ? null : endpoint;
@@ -584,8 +584,8 @@
 		}
 
 		@Override
-		public void recordRequestLimit(@Nullable Double requestsPerSecond) {
-			Forwarding.this.context.endpointLimits().learn(this.endpoint, requestsPerSecond);
+		public void recordStatements(AnswerMetadata metadata) {
+			Forwarding.this.context.endpointLimits().learnFrom(this.endpoint, metadata);
 		}
 
 		@Override
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.masticshelf.kernel.port.KeyValueStore;
+import org.masticshelf.serving.endpoint.ColdEndpoints;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.Evacuations;
 import org.masticshelf.serving.placement.StarvationMonitor;
@@ -23,6 +24,8 @@
 
 	private final Counter sentRequests;
 
+	private final Counter coldLimitedRequests;
+
 	private final Histogram latency;
 
 	/**
@@ -40,6 +43,10 @@
 			.help("Times that a request was sent to an endpoint, by pool.")
 			.labelNames("pool")
 			.register(registry);
+		this.coldLimitedRequests = Counter.builder()
+			.name("masticshelf_serving_requests_cold_limited_total")
+			.help("Requests that the limit of cold endpoints held back.")
+			.register(registry);
 		this.latency = Histogram.builder()
 			.name("masticshelf_serving_request_seconds")
 			.help("Time from the arrival of a request to the end of its answer, by outcome.")
@@ -79,6 +86,19 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metric of cold endpoints.
+	 * @param registry the registry
+	 * @param coldEndpoints the source of the values
+	 */
+	public static void registerColdEndpoints(PrometheusRegistry registry, ColdEndpoints coldEndpoints) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_cold_endpoints")
+			.help("Endpoints that are cold or presumed to be.")
+			.callback((callback) -> callback.call(coldEndpoints.size()))
+			.register(registry);
+	}
+
 	/**
 	 * Registers the metric of evacuated failure domains.
 	 * @param registry the registry
@@ -138,6 +158,11 @@
 		this.latency.labelValues(outcome).observe(nanoseconds / NANOSECONDS_PER_SECOND);
 	}
 
+	/** Records that the limit of cold endpoints held a request back. */
+	void recordColdLimited() {
+		this.coldLimitedRequests.inc();
+	}
+
 	/**
 	 * Records that a request was sent to an endpoint.
 	 * @param pool the pool
--- a/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
+++ b/serving/src/main/java/org/masticshelf/serving/upstream/EndpointProtocol.java
@@ -58,9 +58,29 @@
 	 * @param leaving whether the endpoint states that it is leaving
 	 * @param pauseMilliseconds how long the endpoint wants no requests of this daemon, 0
 	 * if it does not say so
+	 * @param coldRemainingMilliseconds how long the endpoint is still cold, 0 if it is
+	 * warm, {@code null} if it does not say
 	 */
 	record AnswerMetadata(@Nullable String requestIdentifier, boolean notRun, boolean otherEndpoint, boolean genuine,
-			@Nullable Double requestLimit, boolean leaving, long pauseMilliseconds) {
+			@Nullable Double requestLimit, boolean leaving, long pauseMilliseconds,
+			@Nullable Long coldRemainingMilliseconds) {
+
+		/**
+		 * Creates the metadata of an answer that does not say whether the endpoint is
+		 * cold.
+		 * @param requestIdentifier the identifier of the answered request
+		 * @param notRun whether the answer states that the request did not run
+		 * @param otherEndpoint whether another endpoint answers at the address
+		 * @param genuine whether the answer carries the marker of the endpoint itself
+		 * @param requestLimit the requests a second that the endpoint takes
+		 * @param leaving whether the endpoint states that it is leaving
+		 * @param pauseMilliseconds how long the endpoint wants no requests
+		 */
+		public AnswerMetadata(@Nullable String requestIdentifier, boolean notRun, boolean otherEndpoint,
+				boolean genuine, @Nullable Double requestLimit, boolean leaving, long pauseMilliseconds) {
+			this(requestIdentifier, notRun, otherEndpoint, genuine, requestLimit, leaving, pauseMilliseconds, null);
+		}
+
 	}
 
 }
--- a/serving/src/test/java/org/masticshelf/serving/endpoint/EvacuationsTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/endpoint/EvacuationsTests.java
@@ -114,13 +114,18 @@
 		Truth.assertThat(this.events.get(1).field("age_ms")).isEqualTo("1200");
 	}
 
+	/**
+	 * Guards against unlimited requests to endpoints that are found again before they
+	 * count as cold.
+	 */
 	@Test
-	void remembersWhenEvacuationWasTakenBack() {
-		Truth.assertThat(this.evacuations.millisecondsSinceTakenBack("a")).isEqualTo(Long.MAX_VALUE);
+	void listenersLearnOfTakeBackBeforeEndpointsAreFound() {
+		this.directory.replace(List.of(this.first, this.second));
+		List<String> takenBack = new ArrayList<>();
+		this.evacuations.addTakeBackListener((domain) -> takenBack.add(domain + this.directory.inPool("pool").size()));
 		evacuate("a");
 		evacuate();
-		this.clock.advance(Duration.ofMillis(300));
-		Truth.assertThat(this.evacuations.millisecondsSinceTakenBack("a")).isEqualTo(300);
+		Truth.assertThat(takenBack).containsExactly("a1");
 	}
 
 	/** Guards against the later orders of a step that began before the evacuation. */
