--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -27,11 +27,14 @@
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.caller.ServingListener;
+import org.masticshelf.serving.endpoint.ColdEndpoints;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.endpoint.EndpointLoads;
+import org.masticshelf.serving.endpoint.Evacuations;
 import org.masticshelf.serving.grant.SharedGrants;
 import org.masticshelf.serving.peer.PeerRegistry;
+import org.masticshelf.serving.placement.EvacuationAwareOrders;
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
@@ -91,6 +94,9 @@
 
 	private final EndpointLoads loads = new EndpointLoads(this.clock);
 
+	private final Evacuations evacuations = new Evacuations(this.directory, this.loads::requestsIn, this.clock,
+			EventLog::info);
+
 	private final EndpointConnections connections = new EndpointConnections(this.clock);
 
 	private final SharedGrants grants = new SharedGrants(this.clock);
@@ -108,6 +114,8 @@
 
 	private final PlannedStop plannedStop;
 
+	private final ColdEndpoints coldEndpoints;
+
 	private final EndpointLimits endpointLimits;
 
 	private final DaemonLease lease;
@@ -151,13 +159,18 @@
 		this.duties = new LeasedDuties(ports.store(), leaseClock, this.lease, this.dutyView, this.members,
 				new Random(incarnation.hashCode()), EventLog::info);
 		this.plannedStop = new PlannedStop(this.clock, settings.stopMilliseconds());
-		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged);
+		this.coldEndpoints = new ColdEndpoints(new ColdEndpoints.Settings(incarnation, settings.coldBound()),
+				this::tables, this.clock, InstantSource.system(), EventLog::info, this::findingsChanged);
+		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged,
+				this.coldEndpoints);
+		this.evacuations.addTakeBackListener(this.coldEndpoints::presumeCold);
 		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
 				EventLog::info);
 		this.placement = new Placement(this.placementDuty,
-				new Placement.Access(ports.orders(), this.directory, this.loads::isInSilentDomain), this::tables,
-				this::demand, this.clock,
+				new Placement.Access(new EvacuationAwareOrders(ports.orders(), this.evacuations::isEvacuated),
+						this.directory, this.loads::isInSilentDomain),
+				this::tables, this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
 				EventLog::info, this::placementChanged);
 		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
@@ -169,6 +182,8 @@
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
+		ServingMetrics.registerColdEndpoints(this.metrics, this.coldEndpoints);
+		ServingMetrics.registerEvacuations(this.metrics, this.evacuations);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
 		this.directory.addListener(this.waitingRequests::signal);
@@ -197,9 +212,10 @@
 				this.settings.probes(), this::isReady, this.metrics, this::bodyLimit), this.ports.requests(),
 				this.forwarder);
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
+		this.ports.desiredState().followEvacuations(this.evacuations::apply);
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
-		scheduleEvery(PEER_INTERVAL_MILLISECONDS, () -> this.peerExchange.round(this.lease.heldIdentifier() != 0));
+		scheduleEvery(PEER_INTERVAL_MILLISECONDS, this::peerRound);
 		this.placement.start();
 		EventLog.info(Event.named("daemon.started")
 			.with("incarnation", this.members.self().incarnation())
@@ -210,13 +226,19 @@
 		this.scheduler.scheduleWithFixedDelay(() -> runSafely(round), 0, milliseconds, TimeUnit.MILLISECONDS);
 	}
 
-	// One task instead of five wakes the process up less often.
+	private void peerRound() {
+		runSafely(() -> this.coldEndpoints.round(this.ports.desiredState()::readEndpoints));
+		this.peerExchange.round(this.lease.heldIdentifier() != 0);
+	}
+
+	// One task instead of several wakes the process up less often.
 	private void controlRound() {
 		runSafely(this.lease::round);
 		runSafely(this.memberView::round);
 		runSafely(this.dutyView::round);
 		runSafely(this.members::round);
 		runSafely(this.duties::round);
+		runSafely(this.evacuations::round);
 		runSafely(() -> this.quarantineRecord.round(isRecordingQuarantine()));
 	}
 
@@ -266,6 +288,8 @@
 	}
 
 	private void replaceEndpoints(Collection<ServedEndpoint> endpoints) {
+		// A limit is in force before the endpoint can be chosen.
+		this.coldEndpoints.observe(endpoints);
 		this.directory.replace(endpoints);
 	}
 
