Order loads from the weight store over missing models and replicas

A busy model whose only copies were on its own engines never got a further replica, however many requests it refused: a replica was refused a load from the weight store whenever a rare model awaited the store and another load was in progress, which is always the case where the store delivers less than is asked for.

Loads from the store now have one order over missing models and replicas of overloaded ones: by the callers that a load is expected to serve per second of store time. An overloaded model counts the requests beyond what its replicas carry, a missing one those that wait or were refused, weighted by age as before. Rare models cannot starve: replicas leave them one load whenever another one is in progress, and age raises their rank. A replica that does not come first takes what the missing models have left.

The tests of kernel/residency pass unchanged.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/MissingModels.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/MissingModels.java
@@ -55,27 +55,27 @@
 
 	/**
 	 * Returns the missing models in load order.
-	 * @return the names of the models, the first to load at the head
+	 * @return the models, the first to load at the head
 	 */
-	List<String> loadOrder() {
+	List<Missing> loadOrder() {
 		List<Missing> ordered = new ArrayList<>();
 		Map<String, Requests> refused = refusedModels();
 		demands(refused).forEach((model, demand) -> {
 			Requests requests = refused.get(model);
 			boolean onEngine = this.modelsOnEngines.contains(model);
 			long starved = (onEngine && requests != null && requests.areStarved()) ? requests.sinceMilliseconds() : 0;
-			double callers = onEngine ? 0 : expectedCallers(model, demand, requests);
+			double callers = onEngine ? 0 : callersPerStoreSecond(model, demand, requests);
 			ordered.add(new Missing(model, demand, slack(model, demand), starved, callers));
 		});
 		ordered.sort(Comparator.<Missing>comparingDouble((missing) -> -busyRate(missing.model()))
 			.thenComparingInt((missing) -> this.modelsOnEngines.contains(missing.model()) ? 0 : 1)
 			.thenComparingLong((missing) -> -missing.starvedMilliseconds())
-			.thenComparingDouble((missing) -> -missing.expectedCallers())
+			.thenComparingDouble((missing) -> -missing.callersPerStoreSecond())
 			.thenComparingInt((missing) -> (missing.demand().count() > 0) ? 0 : 1)
 			.thenComparingLong(Missing::slack)
 			.thenComparingLong((missing) -> -missing.demand().oldestMilliseconds())
 			.thenComparing(Missing::model));
-		return ordered.stream().map(Missing::model).toList();
+		return ordered;
 	}
 
 	private Map<String, Requests> refusedModels() {
@@ -120,15 +120,16 @@
 		return (profile != null) ? profile.storeMilliseconds() : 0;
 	}
 
-	// The callers that a load begun now is expected to serve: those that wait, and those
-	// refused in the time of a load. It grows with the time in which none was served, so
-	// that no model that callers go on asking for is put off for ever.
-	private double expectedCallers(String model, WaitingDemand demand, @Nullable Requests requests) {
+	// The callers that a load begun now is expected to serve: those that wait, those
+	// refused in the time of a load, and for a busy model those that arrive in that time.
+	// It grows with the time in which none was served, so that no model that callers go
+	// on asking for is put off for ever.
+	private double callersPerStoreSecond(String model, WaitingDemand demand, @Nullable Requests requests) {
 		double load = Math.max(1, storeMilliseconds(model));
 		long refusing = (requests != null) ? requests.sinceMilliseconds() : 0;
 		double refused = (requests != null) ? requests.count() * load / (load + refusing) : 0;
 		double age = Math.max(demand.oldestMilliseconds(), refusing) / load;
-		return (demand.count() + refused) * (1 + age);
+		return (demand.count() + refused) * (1 + age) * 1_000 / load + busyRate(model);
 	}
 
 	private double busyRate(String model) {
@@ -152,11 +153,11 @@
 	 * @param slack how long its load can be delayed, in milliseconds
 	 * @param starvedMilliseconds how long it has been starved, 0 if it is not or if only
 	 * the weight store has it
-	 * @param expectedCallers the callers that a load from the weight store is expected to
-	 * serve, 0 if an engine has it
+	 * @param callersPerStoreSecond the callers that a load from the weight store is
+	 * expected to serve per second of its duration, 0 if an engine has it
 	 */
-	private record Missing(String model, WaitingDemand demand, long slack, long starvedMilliseconds,
-			double expectedCallers) {
+	record Missing(String model, WaitingDemand demand, long slack, long starvedMilliseconds,
+			double callersPerStoreSecond) {
 	}
 
 }
--- /dev/null
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ReplicaDemand.java
@@ -0,0 +1,121 @@
+package org.masticshelf.kernel.residency;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.masticshelf.kernel.serving.ModelProfile;
+
+/**
+ * The loaded models that need further replicas: overloaded ones, and ones that lack
+ * replicas for their request rate.
+ * <p>
+ * Designed for demand that moves to a model with few replicas.
+ * <p>
+ * Reads the planner's replica counts, which change while it plans. Not thread-safe.
+ */
+final class ReplicaDemand {
+
+	/**
+	 * Requests per second that a replica carries before another one is worth a load from
+	 * the weight store.
+	 */
+	static final double STORE_LOAD_REQUESTS_PER_SECOND = 9;
+
+	/** Requests per second and replica from which a model is overloaded. */
+	static final double OVERLOADED_REQUESTS_PER_SECOND = 9;
+
+	/**
+	 * Requests that wait for a loaded model, because all of its replicas are full, from
+	 * which it is overloaded.
+	 */
+	static final int OVERLOADED_WAITING_REQUESTS = 3;
+
+	private final ResidencyInput input;
+
+	private final EngineCapacity capacity;
+
+	private final Map<String, Integer> replicas;
+
+	private final Map<String, Integer> waiting = new HashMap<>();
+
+	ReplicaDemand(ResidencyInput input, EngineCapacity capacity, Map<String, Integer> replicas) {
+		this.input = input;
+		this.capacity = capacity;
+		this.replicas = replicas;
+		for (WaitingDemand demand : input.waiting()) {
+			if (demand.loadable().adapter() == null) {
+				this.waiting.merge(demand.loadable().model(), demand.count(), Integer::sum);
+			}
+		}
+	}
+
+	/**
+	 * Returns the models whose replicas refuse requests, or are about to.
+	 * @return the names of the models, the one with the highest request rate at the head
+	 */
+	List<String> overloadedModels() {
+		return byRate(this::isOverloaded);
+	}
+
+	/**
+	 * Returns the models that have fewer replicas than their request rate needs.
+	 * @return the names of the models, the one with the highest request rate at the head
+	 */
+	List<String> modelsLackingReplicas() {
+		return byRate((model) -> this.replicas.getOrDefault(model, 0) < this.capacity.targetReplicas(model));
+	}
+
+	/**
+	 * Returns the callers per second that a further replica from the weight store is
+	 * expected to serve or to save from refusal.
+	 * @param model the name of the model
+	 * @return the callers per second of store time, 0 if it is not worth such a load
+	 */
+	double callersPerStoreSecond(String model) {
+		ModelProfile profile = this.input.models().get(model);
+		if (profile == null) {
+			return 0;
+		}
+		double excess = excessRequestsPerSecond(model);
+		double waitingPerSecond = this.waiting.getOrDefault(model, 0) * 1_000.0
+				/ Math.max(1, profile.storeMilliseconds());
+		return (excess > 0) ? excess + waitingPerSecond : 0;
+	}
+
+	/**
+	 * Returns whether the replicas of a model have more requests than they carry.
+	 * @param model the name of the model
+	 * @return whether requests are left for a further replica from the weight store
+	 */
+	boolean isBeyondReplicas(String model) {
+		return excessRequestsPerSecond(model) >= 0;
+	}
+
+	private double excessRequestsPerSecond(String model) {
+		return this.capacity.requestsPerSecond(model)
+				- STORE_LOAD_REQUESTS_PER_SECOND * this.replicas.getOrDefault(model, 1);
+	}
+
+	private boolean isOverloaded(String model) {
+		double rate = this.capacity.requestsPerSecond(model);
+		int count = this.replicas.getOrDefault(model, 0);
+		return count < this.capacity.maximumReplicas() && rate >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND
+				&& (rate / count >= OVERLOADED_REQUESTS_PER_SECOND
+						|| this.waiting.getOrDefault(model, 0) >= OVERLOADED_WAITING_REQUESTS);
+	}
+
+	private List<String> byRate(Predicate<String> predicate) {
+		return this.input.requestsPerSecond()
+			.keySet()
+			.stream()
+			.filter((model) -> this.replicas.getOrDefault(model, 0) > 0 && this.input.models().containsKey(model)
+					&& predicate.test(model))
+			.sorted(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
+				.thenComparing((model) -> model))
+			.toList();
+	}
+
+}
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -38,12 +38,6 @@
  */
 public final class ResidencyPlanner {
 
-	/**
-	 * Requests per second and replica from which another replica is worth a load from the
-	 * weight store.
-	 */
-	static final double STORE_LOAD_REQUESTS_PER_SECOND = 9;
-
 	/**
 	 * Penalty for placing a further replica in a failure domain that already has one: the
 	 * time of a load from disk, which is how long a place in another domain is waited
@@ -58,15 +52,6 @@
 	 */
 	static final double FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND = 2;
 
-	/** Requests per second and replica from which a model is overloaded. */
-	static final double OVERLOADED_REQUESTS_PER_SECOND = 9;
-
-	/**
-	 * Requests that wait for a loaded model, because all of its replicas are full, from
-	 * which it is overloaded.
-	 */
-	static final int OVERLOADED_WAITING_REQUESTS = 3;
-
 	/** One engine in this many may load a model that no request has asked for. */
 	static final int ENGINES_PER_PREFETCH = 8;
 
@@ -86,6 +71,12 @@
 
 	private final EngineCapacity capacity;
 
+	private final ReplicaDemand replicaDemand;
+
+	private final List<MissingModels.Missing> missing;
+
+	private final StoreLoadOrder storeOrder;
+
 	private final Set<String> assignedEngines = new HashSet<>();
 
 	private final Map<String, Long> freeInMilliseconds = new HashMap<>();
@@ -96,8 +87,6 @@
 
 	private int storeLoads;
 
-	private boolean storeAwaited;
-
 	private long nextStoreLoadMilliseconds;
 
 	private ResidencyPlanner(ResidencyInput input) {
@@ -133,6 +122,10 @@
 			}
 		}
 		input.waiting().forEach((demand) -> this.awaitedModels.add(demand.loadable().model()));
+		this.replicaDemand = new ReplicaDemand(input, this.capacity, this.replicas);
+		this.missing = new MissingModels(input, this.capacity, this.replicas.keySet(), this.modelsOnEngines)
+			.loadOrder();
+		this.storeOrder = new StoreLoadOrder(input, this.replicaDemand, this.missing, this.replicas);
 	}
 
 	/**
@@ -143,52 +136,20 @@
 	public static ResidencyPlan plan(ResidencyInput input) {
 		ResidencyPlanner planner = new ResidencyPlanner(input);
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
-		List<String> missing = planner.missingModels();
-		planner.planOverloadedModels();
-		planner.planMissingModels(missing);
+		planner.replicaDemand.overloadedModels()
+			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.OVERLOADED));
+		planner.planMissingModels();
 		planner.estimateAdapterReadiness();
-		planner.planReplicas();
+		planner.replicaDemand.modelsLackingReplicas()
+			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.BUSY));
 		planner.planPrefetches();
 		return new ResidencyPlan(planner.steps, planner.readyIn);
 	}
 
-	private void planOverloadedModels() {
-		Map<String, Integer> waiting = new HashMap<>();
-		for (WaitingDemand demand : this.input.waiting()) {
-			if (demand.loadable().adapter() == null) {
-				waiting.merge(demand.loadable().model(), demand.count(), Integer::sum);
-			}
-		}
-		List<String> overloaded = new ArrayList<>();
-		this.input.requestsPerSecond().forEach((model, rate) -> {
-			if (isOverloaded(model, rate, waiting.getOrDefault(model, 0))) {
-				overloaded.add(model);
-			}
-		});
-		overloaded.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
-			.thenComparing((model) -> model));
-		overloaded.forEach((model) -> planLoad(profile(model), Reason.OVERLOADED));
-	}
-
-	private boolean isOverloaded(String model, double rate, int waiting) {
-		int count = this.replicas.getOrDefault(model, 0);
-		boolean mayGrow = count > 0 && count < this.capacity.maximumReplicas()
-				&& rate >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND && this.input.models().containsKey(model);
-		return mayGrow && (rate / count >= OVERLOADED_REQUESTS_PER_SECOND || waiting >= OVERLOADED_WAITING_REQUESTS);
-	}
-
-	private List<String> missingModels() {
-		List<String> missing = new MissingModels(this.input, this.capacity, this.replicas.keySet(),
-				this.modelsOnEngines)
-			.loadOrder();
-		this.storeAwaited = missing.stream().anyMatch((model) -> !this.modelsOnEngines.contains(model));
-		return missing;
-	}
-
-	private void planMissingModels(List<String> missing) {
-		for (String model : missing) {
-			boolean expected = this.awaitedModels.contains(model) || this.capacity.isBusy(model);
-			planLoad(profile(model), expected ? Reason.WAITED_FOR : Reason.REFUSED);
+	private void planMissingModels() {
+		for (MissingModels.Missing missing : this.missing) {
+			boolean expected = this.awaitedModels.contains(missing.model()) || this.capacity.isBusy(missing.model());
+			planLoad(profile(missing.model()), expected ? Reason.WAITED_FOR : Reason.REFUSED);
 		}
 	}
 
@@ -202,23 +163,6 @@
 		}
 	}
 
-	private void planReplicas() {
-		List<String> busy = new ArrayList<>();
-		for (String model : this.input.requestsPerSecond().keySet()) {
-			if (lacksReplicas(model)) {
-				busy.add(model);
-			}
-		}
-		busy.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
-			.thenComparing((model) -> model));
-		busy.forEach((model) -> planLoad(profile(model), Reason.BUSY));
-	}
-
-	private boolean lacksReplicas(String model) {
-		int count = this.replicas.getOrDefault(model, 0);
-		return count > 0 && count < this.capacity.targetReplicas(model) && this.input.models().containsKey(model);
-	}
-
 	// While there are no requests, models that no engine has are fetched once, those with
 	// the most adapters first because requests may use any of them. Once there are
 	// requests, a slow load would keep an engine from the fast loads that they need, so
@@ -313,7 +257,8 @@
 
 	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
-		if (reason.isForReplica() && source == ResidencyStep.Source.STORE && !isReplicaWorthStoreLoad(profile)) {
+		if (reason.isForReplica() && source == ResidencyStep.Source.STORE
+				&& !isWorthStoreLoad(profile.name(), reason)) {
 			return null;
 		}
 		long loadMilliseconds = loadMilliseconds(profile, source);
@@ -336,12 +281,10 @@
 				readyIn + adapterPenalty + domainPenalty);
 	}
 
-	// Models that only the weight store has can be served by nothing else, whereas a
-	// further replica of a busy model relieves others.
-	private boolean isReplicaWorthStoreLoad(ModelProfile profile) {
-		double ratePerReplica = this.capacity.requestsPerSecond(profile.name())
-				/ this.replicas.getOrDefault(profile.name(), 1);
-		return ratePerReplica >= STORE_LOAD_REQUESTS_PER_SECOND && !(this.storeAwaited && this.storeLoads > 0);
+	// A replica that does not come before the missing models takes what they have left.
+	private boolean isWorthStoreLoad(String model, Reason reason) {
+		return (reason == Reason.OVERLOADED) ? this.storeOrder.isReplicaNext(model)
+				: this.replicaDemand.isBeyondReplicas(model);
 	}
 
 	private boolean hasReplicaIn(String failureDomain, String model) {
