Give a busy model a second copy before its only one is lost

A busy model with a single copy was lost with its engine. Only the weight store had it then, so nearly all of its callers were refused until a load of several seconds had ended, although the store had been idle enough before.

A model that is busy enough for a spare replica, and that only one engine has loaded or cached, now gets a second copy from the store, preferably in another failure domain. It takes its place in the order of loads by an eighth of its request rate, because engines are lost an eighth of them at a time or more; after the missing models it takes what the store has left. Nothing is planned until all engines have been read, since any of them may have a copy. The only loaded replica of another busy model is never evicted for it.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ReplicaDemand.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ReplicaDemand.java
@@ -2,17 +2,23 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.masticshelf.kernel.serving.ModelProfile;
 
 /**
- * The loaded models that need further replicas: overloaded ones, and ones that lack
- * replicas for their request rate.
+ * The loaded models that need further replicas: overloaded ones, ones that lack replicas
+ * for their request rate, and unprotected ones.
  * <p>
- * Designed for demand that moves to a model with few replicas.
+ * Designed for demand that moves to a model with few replicas, and for the loss of the
+ * engine that has the only copy of a busy model. Its callers are then refused until the
+ * weight store has delivered it, which takes as long as several loads when the store is
+ * in use. A model is unprotected while it is busy enough for a spare replica and only one
+ * engine has its weights, loaded or cached.
  * <p>
  * Reads the planner's replica counts, which change while it plans. Not thread-safe.
  */
@@ -33,6 +39,13 @@
 	 */
 	static final int OVERLOADED_WAITING_REQUESTS = 3;
 
+	/**
+	 * The share of its callers that a model without a second copy is expected to lose in
+	 * the time of a load from the weight store: engines are lost an eighth of them at a
+	 * time or more.
+	 */
+	static final double UNPROTECTED_LOSS_SHARE = 1 / 8.0;
+
 	private final ResidencyInput input;
 
 	private final EngineCapacity capacity;
@@ -41,6 +54,8 @@
 
 	private final Map<String, Integer> waiting = new HashMap<>();
 
+	private final Set<String> singleCopies = new HashSet<>();
+
 	ReplicaDemand(ResidencyInput input, EngineCapacity capacity, Map<String, Integer> replicas) {
 		this.input = input;
 		this.capacity = capacity;
@@ -50,6 +65,23 @@
 				this.waiting.merge(demand.loadable().model(), demand.count(), Integer::sum);
 			}
 		}
+		Set<String> several = new HashSet<>();
+		for (EngineSnapshot engine : input.engines()) {
+			for (String model : copies(engine)) {
+				if (!this.singleCopies.add(model)) {
+					several.add(model);
+				}
+			}
+		}
+		this.singleCopies.removeAll(several);
+	}
+
+	private static Set<String> copies(EngineSnapshot engine) {
+		Set<String> copies = new HashSet<>(engine.loaded().keySet());
+		copies.addAll(engine.inMemory());
+		copies.addAll(engine.onDisk());
+		copies.add(engine.loading());
+		return copies;
 	}
 
 	/**
@@ -68,6 +100,15 @@
 		return byRate((model) -> this.replicas.getOrDefault(model, 0) < this.capacity.targetReplicas(model));
 	}
 
+	/**
+	 * Returns the busy models of which only one engine has a copy. Engines that have not
+	 * been read yet may have further ones, so there are none until all are known.
+	 * @return the names of the models, the one with the highest request rate at the head
+	 */
+	List<String> unprotectedModels() {
+		return byRate(this::isUnprotected);
+	}
+
 	/**
 	 * Returns the callers per second that a further replica from the weight store is
 	 * expected to serve or to save from refusal.
@@ -82,7 +123,9 @@
 		double excess = excessRequestsPerSecond(model);
 		double waitingPerSecond = this.waiting.getOrDefault(model, 0) * 1_000.0
 				/ Math.max(1, profile.storeMilliseconds());
-		return (excess > 0) ? excess + waitingPerSecond : 0;
+		double beyond = (excess > 0) ? excess + waitingPerSecond : 0;
+		double unprotected = isUnprotected(model) ? this.capacity.requestsPerSecond(model) * UNPROTECTED_LOSS_SHARE : 0;
+		return beyond + unprotected;
 	}
 
 	/**
@@ -107,6 +150,12 @@
 						|| this.waiting.getOrDefault(model, 0) >= OVERLOADED_WAITING_REQUESTS);
 	}
 
+	private boolean isUnprotected(String model) {
+		return this.input.complete() && this.singleCopies.contains(model)
+				&& this.capacity.requestsPerSecond(model) >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND
+				&& this.replicas.getOrDefault(model, 0) == 1 && this.capacity.targetReplicas(model) > 1;
+	}
+
 	private List<String> byRate(Predicate<String> predicate) {
 		return this.input.requestsPerSecond()
 			.keySet()
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -25,14 +26,16 @@
  * Adapters that requests wait for come first, because they load at once (see
  * {@link AdapterPlanner}). Replicas of overloaded models follow: when demand moves to a
  * model that has few of them, it refuses far more requests than one rare model, and the
- * many rare ones would take every engine that becomes free. Models that no engine holds
- * come next, in the order of {@link MissingModels}, and then further replicas of busy
- * models, in failure domains that have none. Last, while there are no requests, models
- * that no engine has are fetched ahead of demand, so that they are on a disk, and may
- * take the place of one that is expected to be rare and stays on its engine's disk. Room
- * is made by evicting the models that have been idle longest, never a model with running
- * or waiting requests unless it has spare replicas, and never the only replica of a busy
- * model for one that is not busy. Slow loads avoid engines whose adapters are requested.
+ * many rare ones would take every engine that becomes free. Where only the weight store
+ * can deliver them, {@link StoreLoadOrder} decides, also on a second copy of busy models
+ * that only one engine has. Models that no engine holds come next, in the order of
+ * {@link MissingModels}, and then further replicas of busy models, in failure domains
+ * that have none. Last, while there are no requests, models that no engine has are
+ * fetched ahead of demand, so that they are on a disk, and may take the place of one that
+ * is expected to be rare and stays on its engine's disk. Room is made by evicting the
+ * models that have been idle longest, never a model with running or waiting requests
+ * unless it has spare replicas, and never the only replica of a busy model for one that
+ * is not busy. Slow loads avoid engines whose adapters are requested.
  * <p>
  * An instance computes a single plan. Not thread-safe.
  */
@@ -138,14 +141,24 @@
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
 		planner.replicaDemand.overloadedModels()
 			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.OVERLOADED));
+		planner.planUnprotectedModels(planner.storeOrder::isReplicaNext);
 		planner.planMissingModels();
 		planner.estimateAdapterReadiness();
 		planner.replicaDemand.modelsLackingReplicas()
 			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.BUSY));
+		planner.planUnprotectedModels((model) -> planner.storeLoads < input.maximumStoreLoads());
 		planner.planPrefetches();
 		return new ResidencyPlan(planner.steps, planner.readyIn);
 	}
 
+	private void planUnprotectedModels(Predicate<String> storeHasRoom) {
+		this.replicaDemand.unprotectedModels().forEach((model) -> {
+			if (storeHasRoom.test(model)) {
+				planLoad(profile(model), Reason.UNPROTECTED);
+			}
+		});
+	}
+
 	private void planMissingModels() {
 		for (MissingModels.Missing missing : this.missing) {
 			boolean expected = this.awaitedModels.contains(missing.model()) || this.capacity.isBusy(missing.model());
@@ -283,8 +296,11 @@
 
 	// A replica that does not come before the missing models takes what they have left.
 	private boolean isWorthStoreLoad(String model, Reason reason) {
-		return (reason == Reason.OVERLOADED) ? this.storeOrder.isReplicaNext(model)
-				: this.replicaDemand.isBeyondReplicas(model);
+		return switch (reason) {
+			case OVERLOADED -> this.storeOrder.isReplicaNext(model);
+			case BUSY -> this.replicaDemand.isBeyondReplicas(model);
+			case UNPROTECTED, WAITED_FOR, REFUSED, ANTICIPATED -> true;
+		};
 	}
 
 	private boolean hasReplicaIn(String failureDomain, String model) {
@@ -297,8 +313,8 @@
 		if (reason == Reason.ANTICIPATED) {
 			return isExpectedToBeRare(victim) && sourceOf(engine, victim) != ResidencyStep.Source.STORE;
 		}
-		return !this.capacity.isBusy(victim) || this.capacity.isBusy(profile.name())
-				|| this.replicas.getOrDefault(victim, 1) > 1;
+		boolean mayReplaceBusyModel = reason != Reason.UNPROTECTED && this.capacity.isBusy(profile.name());
+		return !this.capacity.isBusy(victim) || mayReplaceBusyModel || this.replicas.getOrDefault(victim, 1) > 1;
 	}
 
 	// Before any request, the replicas alone tell which models are busy, and they do only
@@ -311,7 +327,7 @@
 	private double maximumLoss(ModelProfile profile, Reason reason) {
 		return switch (reason) {
 			case WAITED_FOR, REFUSED, ANTICIPATED -> Double.MAX_VALUE;
-			case BUSY, OVERLOADED ->
+			case BUSY, OVERLOADED, UNPROTECTED ->
 				this.capacity.requestsPerSecond(profile.name()) / (this.replicas.getOrDefault(profile.name(), 0) + 1);
 		};
 	}
@@ -357,6 +373,9 @@
 		/** Its replicas cannot keep up with its request rate. */
 		BUSY,
 
+		/** It is busy, and only one engine has a copy of it. */
+		UNPROTECTED,
+
 		/** It may be requested, and there is no other work. */
 		ANTICIPATED;
 
@@ -365,7 +384,7 @@
 		}
 
 		private boolean isForReplica() {
-			return this == BUSY || this == OVERLOADED;
+			return this == BUSY || this == OVERLOADED || this == UNPROTECTED;
 		}
 
 	}
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/StoreLoadOrder.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/StoreLoadOrder.java
@@ -6,7 +6,8 @@
 
 /**
  * The order in which the weight store delivers missing models and replicas of overloaded
- * ones: by the callers that a load is expected to serve per second of store time.
+ * or unprotected ones: by the callers that a load is expected to serve or to save from
+ * refusal per second of store time.
  * <p>
  * Designed for a busy model that needs a replica which no engine has a copy for, while
  * more rare models are asked for, by few callers each, than the weight store can deliver.
@@ -28,6 +29,7 @@
 			Map<String, Integer> replicas) {
 		this.missing = missing.stream().filter((model) -> model.callersPerStoreSecond() > 0).toList();
 		demand.overloadedModels().forEach((model) -> add(model, demand));
+		demand.unprotectedModels().forEach((model) -> add(model, demand));
 		this.freeLoads = input.maximumStoreLoads() - input.storeLoads();
 		this.reserved = !this.missing.isEmpty() && input.storeLoads() > 0
 				&& input.engines().stream().noneMatch((engine) -> isLoadingMissingModel(engine, replicas));
--- a/kernel/src/test/java/org/masticshelf/kernel/residency/StoreLoadReplayTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/residency/StoreLoadReplayTests.java
@@ -58,6 +58,25 @@
 		Truth.assertThat(replay.rareLoads).isAtLeast((int) (60_000 / STORE_MILLISECONDS) * STORE_LOADS / 2 - 1);
 	}
 
+	/**
+	 * The engine with the only copy of a busy model is lost. Without a second copy, its
+	 * callers are refused until the weight store has delivered it again.
+	 * @param seed the seed of the requests for rare models
+	 * @param rate the requests per second for the model, which one replica carries
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 2", "2, 6", "3, 8.5" })
+	void busyModelHasSecondCopyInAnotherDomainBeforeTheFirstIsLost(long seed, double rate) {
+		Replay replay = new Replay(seed, 1);
+		replay.rate = rate;
+		replay.runUntil(90_000);
+		Truth.assertThat(replay.rareLoads).isAtLeast((int) (90_000 / STORE_MILLISECONDS) * STORE_LOADS / 2 - 1);
+		String lostDomain = replay.engines.getFirst().failureDomain;
+		replay.engines.removeIf((engine) -> engine.failureDomain.equals(lostDomain));
+		replay.runUntil(90_000 + 3_500);
+		Truth.assertThat(replay.copies("busy")).isAtLeast(1);
+	}
+
 	/** One replay. Not thread-safe. */
 	private static final class Replay {
 
