--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -25,25 +26,21 @@
  * Adapters that requests wait for come first, because they load at once (see
  * {@link AdapterPlanner}). Replicas of overloaded models follow: when demand moves to a
  * model that has few of them, it refuses far more requests than one rare model, and the
- * many rare ones would take every engine that becomes free. Models that no engine holds
- * come next, in the order of {@link MissingModels}, and then further replicas of busy
- * models, in failure domains that have none. Last, while there are no requests, models
- * that no engine has are fetched ahead of demand, so that they are on a disk, and may
- * take the place of one that is expected to be rare and stays on its engine's disk. Room
- * is made by evicting the models that have been idle longest, never a model with running
- * or waiting requests unless it has spare replicas, and never the only replica of a busy
- * model for one that is not busy. Slow loads avoid engines whose adapters are requested.
+ * many rare ones would take every engine that becomes free. Where only the weight store
+ * can deliver them, {@link StoreLoadOrder} decides, also on a second copy of busy models
+ * that only one engine has. Models that no engine holds come next, in the order of
+ * {@link MissingModels}, and then further replicas of busy models, in failure domains
+ * that have none. Last, while there are no requests, models that no engine has are
+ * fetched ahead of demand, so that they are on a disk, and may take the place of one that
+ * is expected to be rare and stays on its engine's disk. Room is made by evicting the
+ * models that have been idle longest, never a model with running or waiting requests
+ * unless it has spare replicas, and never the only replica of a busy model for one that
+ * is not busy. Slow loads avoid engines whose adapters are requested.
  * <p>
  * An instance computes a single plan. Not thread-safe.
  */
 public final class ResidencyPlanner {
 
-	/**
-	 * Requests per second and replica from which another replica is worth a load from the
-	 * weight store.
-	 */
-	static final double STORE_LOAD_REQUESTS_PER_SECOND = 9;
-
 	/**
 	 * Penalty for placing a further replica in a failure domain that already has one: the
 	 * time of a load from disk, which is how long a place in another domain is waited
@@ -58,15 +55,6 @@
 	 */
 	static final double FULL_PENALTY_ADAPTER_REQUESTS_PER_SECOND = 2;
 
-	/** Requests per second and replica from which a model is overloaded. */
-	static final double OVERLOADED_REQUESTS_PER_SECOND = 9;
-
-	/**
-	 * Requests that wait for a loaded model, because all of its replicas are full, from
-	 * which it is overloaded.
-	 */
-	static final int OVERLOADED_WAITING_REQUESTS = 3;
-
 	/** One engine in this many may load a model that no request has asked for. */
 	static final int ENGINES_PER_PREFETCH = 8;
 
@@ -86,6 +74,12 @@
 
 	private final EngineCapacity capacity;
 
+	private final ReplicaDemand replicaDemand;
+
+	private final List<MissingModels.Missing> missing;
+
+	private final StoreLoadOrder storeOrder;
+
 	private final Set<String> assignedEngines = new HashSet<>();
 
 	private final Map<String, Long> freeInMilliseconds = new HashMap<>();
@@ -96,8 +90,6 @@
 
 	private int storeLoads;
 
-	private boolean storeAwaited;
-
 	private long nextStoreLoadMilliseconds;
 
 	private ResidencyPlanner(ResidencyInput input) {
@@ -133,6 +125,10 @@
 			}
 		}
 		input.waiting().forEach((demand) -> this.awaitedModels.add(demand.loadable().model()));
+		this.replicaDemand = new ReplicaDemand(input, this.capacity, this.replicas);
+		this.missing = new MissingModels(input, this.capacity, this.replicas.keySet(), this.modelsOnEngines)
+			.loadOrder();
+		this.storeOrder = new StoreLoadOrder(input, this.replicaDemand, this.missing, this.replicas);
 	}
 
 	/**
@@ -143,52 +139,30 @@
 	public static ResidencyPlan plan(ResidencyInput input) {
 		ResidencyPlanner planner = new ResidencyPlanner(input);
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
-		List<String> missing = planner.missingModels();
-		planner.planOverloadedModels();
-		planner.planMissingModels(missing);
+		planner.replicaDemand.overloadedModels()
+			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.OVERLOADED));
+		planner.planUnprotectedModels(planner.storeOrder::isReplicaNext);
+		planner.planMissingModels();
 		planner.estimateAdapterReadiness();
-		planner.planReplicas();
+		planner.replicaDemand.modelsLackingReplicas()
+			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.BUSY));
+		planner.planUnprotectedModels((model) -> planner.storeLoads < input.maximumStoreLoads());
 		planner.planPrefetches();
 		return new ResidencyPlan(planner.steps, planner.readyIn);
 	}
 
-	private void planOverloadedModels() {
-		Map<String, Integer> waiting = new HashMap<>();
-		for (WaitingDemand demand : this.input.waiting()) {
-			if (demand.loadable().adapter() == null) {
-				waiting.merge(demand.loadable().model(), demand.count(), Integer::sum);
-			}
-		}
-		List<String> overloaded = new ArrayList<>();
-		this.input.requestsPerSecond().forEach((model, rate) -> {
-			if (isOverloaded(model, rate, waiting.getOrDefault(model, 0))) {
-				overloaded.add(model);
+	private void planUnprotectedModels(Predicate<String> storeHasRoom) {
+		this.replicaDemand.unprotectedModels().forEach((model) -> {
+			if (storeHasRoom.test(model)) {
+				planLoad(profile(model), Reason.UNPROTECTED);
 			}
 		});
-		overloaded.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
-			.thenComparing((model) -> model));
-		overloaded.forEach((model) -> planLoad(profile(model), Reason.OVERLOADED));
 	}
 
-	private boolean isOverloaded(String model, double rate, int waiting) {
-		int count = this.replicas.getOrDefault(model, 0);
-		boolean mayGrow = count > 0 && count < this.capacity.maximumReplicas()
-				&& rate >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND && this.input.models().containsKey(model);
-		return mayGrow && (rate / count >= OVERLOADED_REQUESTS_PER_SECOND || waiting >= OVERLOADED_WAITING_REQUESTS);
-	}
-
-	private List<String> missingModels() {
-		List<String> missing = new MissingModels(this.input, this.capacity, this.replicas.keySet(),
-				this.modelsOnEngines)
-			.loadOrder();
-		this.storeAwaited = missing.stream().anyMatch((model) -> !this.modelsOnEngines.contains(model));
-		return missing;
-	}
-
-	private void planMissingModels(List<String> missing) {
-		for (String model : missing) {
-			boolean expected = this.awaitedModels.contains(model) || this.capacity.isBusy(model);
-			planLoad(profile(model), expected ? Reason.WAITED_FOR : Reason.REFUSED);
+	private void planMissingModels() {
+		for (MissingModels.Missing missing : this.missing) {
+			boolean expected = this.awaitedModels.contains(missing.model()) || this.capacity.isBusy(missing.model());
+			planLoad(profile(missing.model()), expected ? Reason.WAITED_FOR : Reason.REFUSED);
 		}
 	}
 
@@ -202,23 +176,6 @@
 		}
 	}
 
-	private void planReplicas() {
-		List<String> busy = new ArrayList<>();
-		for (String model : this.input.requestsPerSecond().keySet()) {
-			if (lacksReplicas(model)) {
-				busy.add(model);
-			}
-		}
-		busy.sort(Comparator.<String>comparingDouble((model) -> -this.capacity.requestsPerSecond(model))
-			.thenComparing((model) -> model));
-		busy.forEach((model) -> planLoad(profile(model), Reason.BUSY));
-	}
-
-	private boolean lacksReplicas(String model) {
-		int count = this.replicas.getOrDefault(model, 0);
-		return count > 0 && count < this.capacity.targetReplicas(model) && this.input.models().containsKey(model);
-	}
-
 	// While there are no requests, models that no engine has are fetched once, those with
 	// the most adapters first because requests may use any of them. Once there are
 	// requests, a slow load would keep an engine from the fast loads that they need, so
@@ -313,7 +270,8 @@
 
 	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
-		if (reason.isForReplica() && source == ResidencyStep.Source.STORE && !isReplicaWorthStoreLoad(profile)) {
+		if (reason.isForReplica() && source == ResidencyStep.Source.STORE
+				&& !isWorthStoreLoad(profile.name(), reason)) {
 			return null;
 		}
 		long loadMilliseconds = loadMilliseconds(profile, source);
@@ -336,12 +294,13 @@
 				readyIn + adapterPenalty + domainPenalty);
 	}
 
-	// Models that only the weight store has can be served by nothing else, whereas a
-	// further replica of a busy model relieves others.
-	private boolean isReplicaWorthStoreLoad(ModelProfile profile) {
-		double ratePerReplica = this.capacity.requestsPerSecond(profile.name())
-				/ this.replicas.getOrDefault(profile.name(), 1);
-		return ratePerReplica >= STORE_LOAD_REQUESTS_PER_SECOND && !(this.storeAwaited && this.storeLoads > 0);
+	// A replica that does not come before the missing models takes what they have left.
+	private boolean isWorthStoreLoad(String model, Reason reason) {
+		return switch (reason) {
+			case OVERLOADED -> this.storeOrder.isReplicaNext(model);
+			case BUSY -> this.replicaDemand.isBeyondReplicas(model);
+			case UNPROTECTED, WAITED_FOR, REFUSED, ANTICIPATED -> true;
+		};
 	}
 
 	private boolean hasReplicaIn(String failureDomain, String model) {
@@ -354,8 +313,8 @@
 		if (reason == Reason.ANTICIPATED) {
 			return isExpectedToBeRare(victim) && sourceOf(engine, victim) != ResidencyStep.Source.STORE;
 		}
-		return !this.capacity.isBusy(victim) || this.capacity.isBusy(profile.name())
-				|| this.replicas.getOrDefault(victim, 1) > 1;
+		boolean mayReplaceBusyModel = reason != Reason.UNPROTECTED && this.capacity.isBusy(profile.name());
+		return !this.capacity.isBusy(victim) || mayReplaceBusyModel || this.replicas.getOrDefault(victim, 1) > 1;
 	}
 
 	// Before any request, the replicas alone tell which models are busy, and they do only
@@ -368,7 +327,7 @@
 	private double maximumLoss(ModelProfile profile, Reason reason) {
 		return switch (reason) {
 			case WAITED_FOR, REFUSED, ANTICIPATED -> Double.MAX_VALUE;
-			case BUSY, OVERLOADED ->
+			case BUSY, OVERLOADED, UNPROTECTED ->
 				this.capacity.requestsPerSecond(profile.name()) / (this.replicas.getOrDefault(profile.name(), 0) + 1);
 		};
 	}
@@ -414,6 +373,9 @@
 		/** Its replicas cannot keep up with its request rate. */
 		BUSY,
 
+		/** It is busy, and only one engine has a copy of it. */
+		UNPROTECTED,
+
 		/** It may be requested, and there is no other work. */
 		ANTICIPATED;
 
@@ -422,7 +384,7 @@
 		}
 
 		private boolean isForReplica() {
-			return this == BUSY || this == OVERLOADED;
+			return this == BUSY || this == OVERLOADED || this == UNPROTECTED;
 		}
 
 	}
