Give free slots to waiting requests in order of cost

A request that found a free slot was sent at once even if more urgent ones waited, and every change woke all waiting requests, which raced for it. Where the routes of a pool of engines state different priorities, WaitingOrder now ranks the requests, and OrderedRequests claims each free slot for the first one that can use it and wakes only that one. A request that cannot use a slot is passed over. Other pools take slots by arrival as before.

--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -26,6 +28,8 @@
 
 	private final Map<String, ServedOrganisation> organisations;
 
+	private final Map<String, Set<Integer>> prioritiesByPool = new HashMap<>();
+
 	private final boolean keysRequired;
 
 	private final Limits limits;
@@ -48,6 +52,9 @@
 		this.limits = limits;
 		for (ServedRoute route : routes) {
 			this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+			route.targets()
+				.forEach((target) -> this.prioritiesByPool.computeIfAbsent(target.pool(), (name) -> new HashSet<>())
+					.add(route.priority()));
 		}
 		this.routesByHost.values()
 			.forEach((list) -> list.sort(Comparator.comparingInt((route) -> -route.prefix().length())));
@@ -95,6 +102,15 @@
 		return this.pools.get(name);
 	}
 
+	/**
+	 * Returns whether requests of different priorities share a pool.
+	 * @param pool the name of the pool
+	 * @return whether the routes of the pool state at least two priorities
+	 */
+	public boolean hasSeveralPriorities(String pool) {
+		return this.prioritiesByPool.getOrDefault(pool, Set.of()).size() > 1;
+	}
+
 	/**
 	 * Returns the pools.
 	 * @return the pools by name
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -35,7 +35,7 @@
 	 * The time an endpoint needs to begin an answer, reserved when deciding whether to
 	 * wait or retry.
 	 */
-	private static final long ANSWER_START_MILLISECONDS = 150;
+	private static final long ANSWER_START_MILLISECONDS = RequestTurn.ANSWER_START_MILLISECONDS;
 
 	/** The minimum silence of a repeatable call before it is sent to another endpoint. */
 	private static final long MINIMUM_SILENCE_MILLISECONDS = 300;
@@ -56,9 +56,6 @@
 	 */
 	private static final long HARMLESS_MILLISECONDS = 400;
 
-	/** How often a waiting request checks whether ejected endpoints are back. */
-	private static final long RECHECK_MILLISECONDS = 100;
-
 	/** The retry delay announced when another daemon should serve the request. */
 	private static final long RETRY_ELSEWHERE_MILLISECONDS = 50;
 
@@ -99,6 +96,9 @@
 	/** When the request was last sent, in milliseconds since it arrived. */
 	private long sentAt;
 
+	/** Whether the request counts as running at the chosen endpoint before it is sent. */
+	private boolean started;
+
 	/** Whether the current endpoint goes on with a stream that another one began. */
 	private boolean resumed;
 
@@ -142,6 +142,9 @@
 				return;
 			}
 			if (!this.context.endpointLimits().tryTake(endpoint)) {
+				if (this.started) {
+					recordEnd(endpoint);
+				}
 				continue;
 			}
 			ExchangeResult result = send(endpoint);
@@ -165,9 +168,9 @@
 	}
 
 	private @Nullable ServedEndpoint awaitEndpoint() {
-		WaitingRequests.Entry entry = null;
 		ReadinessEstimate estimate = ReadinessEstimate.NONE;
-		try {
+		try (RequestTurn turn = RequestTurn.of(new RequestTurn.Subject(this.context, this.request, admitted(),
+				this.avoidedEndpoints, this.caller::isGone, this::elapsed, this::event))) {
 			while (true) {
 				if (this.caller.isGone()) {
 					refundIfNotRun();
@@ -175,7 +178,7 @@
 					finish("caller_gone", 0);
 					return null;
 				}
-				long seenChanges = this.context.waitingRequests().changeCount();
+				turn.beginCheck();
 				if (this.context.plannedStop().phase().compareTo(StopPhase.ENDING) >= 0) {
 					giveUpWithoutEndpoint(RETRY_ELSEWHERE_MILLISECONDS, -1);
 					return null;
@@ -184,16 +187,17 @@
 					giveUpQuarantined(finding);
 					return null;
 				}
-				EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(),
-						admitted().pool().engine());
-				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
+				ServedEndpoint endpoint = turn.choose();
 				if (endpoint != null) {
-					return refuseIfStopping(endpoint, 0) ? null : endpoint;
+					if (refuseIfStopping(endpoint, 0)) {
+						return null;
+					}
+					this.started = turn.keep();
+					return endpoint;
 				}
 				estimate = estimate.learn(elapsed(), readyIn());
 				long readyInMilliseconds = estimate.readyIn(elapsed());
-				Availability limited = chooser
-					.limitedAvailability(this.context.waitingRequests().countAhead(pool(), loadable(), entry));
+				Availability limited = turn.limitedAvailability();
 				if (limited != null && readyInMilliseconds < 0) {
 					if (!limited.here()) {
 						giveUpWithoutEndpoint(limited.milliseconds(), limited.milliseconds());
@@ -204,32 +208,15 @@
 				if (refuseIfStopping(null, readyInMilliseconds)) {
 					return null;
 				}
-				WaitDecision decision = WaitDecision.decide(elapsed(), firstEventLimit(), readyInMilliseconds,
-						ANSWER_START_MILLISECONDS);
-				switch (decision) {
+				switch (turn.decide(elapsed(), firstEventLimit(), readyInMilliseconds)) {
 					case WaitDecision.Refuse refuse -> {
 						giveUpWithoutEndpoint(refuse.retryAfterMilliseconds(), readyInMilliseconds);
 						return null;
 					}
-					case WaitDecision.Wait wait -> {
-						if (entry == null) {
-							entry = this.context.waitingRequests()
-								.add(pool(), loadable(), route().objectiveMilliseconds() - elapsed());
-							this.context.log()
-								.accept(event("request.waiting").with("loadable", loadable())
-									.with("ready_in", readyInMilliseconds));
-						}
-						this.context.waitingRequests()
-							.awaitChange(seenChanges, Math.min(wait.milliseconds(), RECHECK_MILLISECONDS));
-					}
+					case WaitDecision.Wait wait -> turn.await(wait.milliseconds(), readyInMilliseconds);
 				}
 			}
 		}
-		finally {
-			if (entry != null) {
-				this.context.waitingRequests().remove(entry);
-			}
-		}
 	}
 
 	private boolean refuseIfStopping(@Nullable ServedEndpoint endpoint, long waitMilliseconds) {
@@ -272,6 +259,7 @@
 			long whole = elapsed() - this.sentAt;
 			long start = (this.answeringSince < 0) ? whole : this.answeringSince - this.sentAt;
 			this.context.serviceTimes().record(endpoint, loadable(), this.request.outputTokens(), start, whole);
+			this.context.waitingRequests().ordered().recordService(pool(), start, whole);
 		}
 	}
 
@@ -301,13 +289,15 @@
 				.with("waited_ms", elapsed())
 				.with("left_ms", remaining())
 				.with("stop_left_ms", this.context.plannedStop().leftForLog())
-				.with("requests_there", this.context.loads().view(endpoint).own())
+				.with("requests_there", this.context.loads().view(endpoint).own() - (this.started ? 1 : 0))
 				.with("resume_after", this.relay.lastIdentifier()));
 		this.context.metrics().recordSend(pool());
 		int priority = (payer != null && payer.priority() != null) ? payer.priority() : route.priority();
 		OutboundRequest outbound = new OutboundRequest(this.request, endpoint, (payer != null) ? payer.name() : null,
 				priority, remaining(), this.relay.lastIdentifier());
-		this.context.loads().recordStart(endpoint, loadable(), tokens());
+		if (!this.started) {
+			this.context.loads().recordStart(endpoint, loadable(), tokens());
+		}
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
 					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint),
@@ -315,11 +305,16 @@
 				.run(this.relay);
 		}
 		finally {
-			this.context.loads().recordEnd(endpoint, loadable(), tokens());
-			this.context.waitingRequests().signal();
+			recordEnd(endpoint);
 		}
 	}
 
+	private void recordEnd(ServedEndpoint endpoint) {
+		this.context.loads().recordEnd(endpoint, loadable(), tokens());
+		this.started = false;
+		this.context.waitingRequests().signal();
+	}
+
 	private ConnectionChoice chooseConnection(ServedEndpoint endpoint) {
 		if (this.context.loads().isInSilentDomain(endpoint)) {
 			return ConnectionChoice.PROBING;
--- /dev/null
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestTurn.java
@@ -0,0 +1,280 @@
+package org.masticshelf.serving.request;
+
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+import org.jspecify.annotations.Nullable;
+
+import org.masticshelf.kernel.admission.WaitDecision;
+import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.ServedEndpoint;
+import org.masticshelf.kernel.serving.ServedOrganisation;
+import org.masticshelf.kernel.serving.ServedRequest;
+import org.masticshelf.kernel.serving.ServedRoute;
+import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
+import org.masticshelf.serving.request.OrderedRequests.Needs;
+
+/**
+ * Obtains an endpoint for one request, by order of cost or by arrival.
+ * <p>
+ * Invariant: a slot that was claimed is either kept for the request or released when the
+ * turn is closed. Used by the thread of the request; {@link ByCost} is examined by other
+ * threads under the lock of {@link OrderedRequests}.
+ */
+abstract sealed class RequestTurn implements AutoCloseable {
+
+	/**
+	 * The time an endpoint needs to begin an answer, reserved when deciding whether to
+	 * wait.
+	 */
+	static final long ANSWER_START_MILLISECONDS = 150;
+
+	/** How often a waiting request checks whether ejected endpoints are back. */
+	private static final long RECHECK_MILLISECONDS = 100;
+
+	final Subject subject;
+
+	final EndpointChooser chooser;
+
+	private WaitingRequests.@Nullable Entry entry;
+
+	private long seenChanges;
+
+	private RequestTurn(Subject subject) {
+		this.subject = subject;
+		this.chooser = new EndpointChooser(subject.context(), subject.request(), subject.pool(),
+				subject.admitted().pool().engine());
+	}
+
+	/**
+	 * Creates the turn of a request.
+	 * @param subject the request
+	 * @return the turn, by cost if the pool is ordered so
+	 */
+	static RequestTurn of(Subject subject) {
+		return subject.context().waitingRequests().isOrderedByCost(subject.context().tables().get(), subject.pool())
+				? new ByCost(subject) : new ByArrival(subject);
+	}
+
+	/** Begins a check; changes that are signalled from now on end the next wait. */
+	final void beginCheck() {
+		this.seenChanges = this.subject.context().waitingRequests().changeCount();
+	}
+
+	/**
+	 * Chooses an endpoint that has capacity.
+	 * @return the endpoint, {@code null} if the request has to wait
+	 */
+	abstract @Nullable ServedEndpoint choose();
+
+	/**
+	 * Decides whether the request goes on waiting.
+	 * @param elapsed how long it has waited, in milliseconds
+	 * @param limit the time from its arrival by which its answer must begin
+	 * @param readyIn the time until what it needs is ready, negative if unknown
+	 * @return the decision
+	 */
+	WaitDecision decide(long elapsed, long limit, long readyIn) {
+		return WaitDecision.decide(elapsed, limit, readyIn, ANSWER_START_MILLISECONDS);
+	}
+
+	/**
+	 * Returns when the request may be sent if endpoints' limits are all that holds it
+	 * back.
+	 * @return when it may be sent, {@code null} if something else holds it back
+	 */
+	final @Nullable Availability limitedAvailability() {
+		return this.chooser.limitedAvailability(this.subject.context()
+			.waitingRequests()
+			.countAhead(this.subject.pool(), this.subject.loadable(), this.entry));
+	}
+
+	/**
+	 * Waits for a change that concerns the request.
+	 * @param milliseconds the timeout
+	 * @param readyIn the time until what it needs is ready, for the log
+	 */
+	final void await(long milliseconds, long readyIn) {
+		if (this.entry == null) {
+			long elapsed = this.subject.elapsed();
+			this.entry = this.subject.context()
+				.waitingRequests()
+				.add(this.subject.pool(), this.subject.loadable(),
+						this.subject.route().objectiveMilliseconds() - elapsed);
+			this.subject.context()
+				.log()
+				.accept(describe(this.subject.events()
+					.apply("request.waiting")
+					.with("loadable", this.subject.loadable())
+					.with("ready_in", readyIn)));
+		}
+		awaitChange(this.seenChanges, Math.min(milliseconds, RECHECK_MILLISECONDS));
+	}
+
+	abstract void awaitChange(long seen, long milliseconds);
+
+	Event describe(Event event) {
+		return event;
+	}
+
+	/**
+	 * Keeps the chosen slot beyond the end of the turn.
+	 * @return whether the request is counted as running at the endpoint already
+	 */
+	boolean keep() {
+		return false;
+	}
+
+	@Override
+	public void close() {
+		WaitingRequests.Entry waiting = this.entry;
+		if (waiting != null) {
+			this.subject.context().waitingRequests().remove(waiting);
+		}
+	}
+
+	/**
+	 * The request. Immutable.
+	 *
+	 * @param context the dependencies that all requests share
+	 * @param request the request
+	 * @param admitted its route, organisation and pool
+	 * @param avoided endpoints that failed or refused it, not changed during a turn
+	 * @param isGone returns whether its caller has disconnected
+	 * @param elapsedMilliseconds returns the time since it arrived
+	 * @param events creates an event of the request from its name
+	 */
+	record Subject(RequestContext context, ServedRequest request, Admission.Admitted admitted, Set<String> avoided,
+			BooleanSupplier isGone, LongSupplier elapsedMilliseconds, Function<String, Event> events) {
+
+		String pool() {
+			return this.admitted.pool().name();
+		}
+
+		ServedRoute route() {
+			return this.admitted.route();
+		}
+
+		@Nullable LoadableName loadable() {
+			return (this.admitted.pool().engine() != null) ? this.request.loadable() : null;
+		}
+
+		long tokens() {
+			return Math.max(0, this.request.totalTokens());
+		}
+
+		long elapsed() {
+			return this.elapsedMilliseconds.getAsLong();
+		}
+
+		int priority() {
+			ServedOrganisation payer = this.admitted.organisation();
+			Integer stated = (payer != null) ? payer.priority() : null;
+			return (stated != null) ? stated : route().priority();
+		}
+
+	}
+
+	/** Takes any free slot; all waiting requests check again at each change. */
+	private static final class ByArrival extends RequestTurn {
+
+		private ByArrival(Subject subject) {
+			super(subject);
+		}
+
+		@Override
+		@Nullable ServedEndpoint choose() {
+			return this.chooser.choose(this.subject.avoided());
+		}
+
+		@Override
+		void awaitChange(long seen, long milliseconds) {
+			this.subject.context().waitingRequests().awaitChange(seen, milliseconds);
+		}
+
+	}
+
+	/** Takes a free slot when it is this request's turn. */
+	private static final class ByCost extends RequestTurn implements OrderedRequests.Claim {
+
+		private final OrderedRequests ordered;
+
+		private final OrderedRequests.Turn turn;
+
+		private @Nullable ServedEndpoint taken;
+
+		private ByCost(Subject subject) {
+			super(subject);
+			this.ordered = subject.context().waitingRequests().ordered();
+			ServedOrganisation payer = subject.admitted().organisation();
+			LoadableName loadable = subject.loadable();
+			ServedRoute route = subject.route();
+			long arrivedAt = subject.context().clock().milliseconds() - subject.elapsed();
+			long limit = Math.min(subject.request().deadlineMilliseconds(), route.timeoutMilliseconds());
+			this.turn = this.ordered.create(subject.pool(), this,
+					new Needs((loadable != null) ? loadable.toString() : "", (payer != null) ? payer.name() : "",
+							subject.priority(), arrivedAt, route.objectiveMilliseconds(),
+							route.execution().isStreamed(), arrivedAt + limit, subject.tokens()));
+		}
+
+		@Override
+		@Nullable ServedEndpoint choose() {
+			this.taken = this.ordered.take(this.turn);
+			return this.taken;
+		}
+
+		@Override
+		public @Nullable ServedEndpoint claim() {
+			ServedEndpoint endpoint = this.chooser.choose(this.subject.avoided());
+			if (endpoint != null) {
+				this.subject.context().loads().recordStart(endpoint, this.subject.loadable(), this.subject.tokens());
+			}
+			return endpoint;
+		}
+
+		@Override
+		public boolean avoidsEndpoints() {
+			return !this.subject.avoided().isEmpty();
+		}
+
+		@Override
+		public boolean isGone() {
+			return this.subject.isGone().getAsBoolean();
+		}
+
+		@Override
+		void awaitChange(long seen, long milliseconds) {
+			this.ordered.await(this.turn, milliseconds);
+		}
+
+		@Override
+		Event describe(Event event) {
+			OrderedRequests.Place place = this.ordered.place(this.turn);
+			return event.with("position", place.ahead())
+				.with("ahead_work", place.aheadWork())
+				.with("slack_ms", place.slackMilliseconds());
+		}
+
+		@Override
+		boolean keep() {
+			this.taken = null;
+			return true;
+		}
+
+		@Override
+		public void close() {
+			super.close();
+			ServedEndpoint claimed = this.ordered.leave(this.turn);
+			ServedEndpoint unused = (claimed != null) ? claimed : this.taken;
+			if (unused != null) {
+				this.subject.context().loads().recordEnd(unused, this.subject.loadable(), this.subject.tokens());
+				this.subject.context().waitingRequests().signal();
+			}
+		}
+
+	}
+
+}
--- a/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
@@ -12,6 +12,8 @@
 import org.jspecify.annotations.Nullable;
 
 import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.ServedPool;
+import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.peer.PeerMessage;
 
@@ -34,6 +36,8 @@
 
 	private final Map<Entry, Long> entries = new HashMap<>();
 
+	private final OrderedRequests ordered;
+
 	private long changeCount;
 
 	/**
@@ -44,6 +48,26 @@
 	public WaitingRequests(MonotonicClock clock, Runnable onEntry) {
 		this.clock = clock;
 		this.onEntry = onEntry;
+		this.ordered = new OrderedRequests(clock);
+	}
+
+	/**
+	 * Returns the requests that are ordered by cost.
+	 * @return the queues of the pools that are ordered so
+	 */
+	OrderedRequests ordered() {
+		return this.ordered;
+	}
+
+	/**
+	 * Returns whether requests get slots of a pool in order of cost instead of arrival.
+	 * @param tables the current tables
+	 * @param pool the name of the pool
+	 * @return whether it has engines and its routes state different priorities
+	 */
+	boolean isOrderedByCost(@Nullable ServedTables tables, String pool) {
+		return tables != null && tables.hasSeveralPriorities(pool) && tables.findPool(pool) instanceof ServedPool found
+				&& found.engine() != null;
 	}
 
 	/**
@@ -60,7 +84,10 @@
 		}
 	}
 
-	/** Wakes all waiting requests, so that they check again. */
+	/**
+	 * Wakes the waiting requests, so that they check again; of those that are ordered by
+	 * cost only the ones that may proceed.
+	 */
 	public void signal() {
 		this.lock.lock();
 		try {
@@ -70,6 +97,7 @@
 		finally {
 			this.lock.unlock();
 		}
+		this.ordered.signal();
 	}
 
 	/**
