Turn away requests that cannot start in time, by the queues of all daemons

A request without an estimate waited for half of its limit, whatever waited before it, and was refused then with a fixed Retry-After. Where a pool is ordered by cost, QueueCutoffs now estimates its start from the learned time in a slot, the slots that it may use, and what ranks before it here and at peers, and refuses at once what cannot start in time, with a position of its own in the order of return. Requests for models that no engine holds keep WaitDecision. The queue of a pool is a class of its own; the phases of a stop wake all.

--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -223,7 +223,8 @@
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(),
-				List.of(), null, this.components.limits().reports(), null);
+				List.of(), null, this.components.limits().reports(), null,
+				this.components.waitingRequests().queuedWork());
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
 						this.components.rates().requestsPerSecond(), this.components.unserved().summary(), decided,
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -167,6 +167,8 @@
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.unserved, this.rates,
 				new RetryBudgets(), this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(),
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
+		this.waitingRequests.setCostAllowed(settings.orderedByCost());
+		ServingMetrics.registerQueues(this.metrics, this.waitingRequests);
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
@@ -336,7 +338,7 @@
 		this.plannedStop.enter(phase);
 		EventLog
 			.info(Event.named("daemon.stopping").with("phase", phase).with("active", this.forwarder.activeRequests()));
-		this.waitingRequests.signal();
+		this.waitingRequests.wakeAll();
 	}
 
 	private void awaitEndOf(StopPhase phase, boolean untilIdle) {
--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -14,9 +14,11 @@
  * @param settleMilliseconds how long a new holder of a duty waits before its first order
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
+ * @param orderedByCost whether waiting requests are ordered by cost where routes state
+ * different priorities, rather than by arrival everywhere
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce) {
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, boolean orderedByCost) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -53,6 +55,8 @@
 
 		private int storeLoadsAtOnce = DEFAULT_STORE_LOADS_AT_ONCE;
 
+		private boolean orderedByCost = true;
+
 		private Builder() {
 		}
 
@@ -128,13 +132,24 @@
 			return this;
 		}
 
+		/**
+		 * Sets how waiting requests are ordered.
+		 * @param byCost whether they are ordered by cost where routes state different
+		 * priorities, rather than by arrival everywhere
+		 * @return this builder
+		 */
+		public Builder orderingByCost(boolean byCost) {
+			this.orderedByCost = byCost;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.orderedByCost);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -26,13 +26,14 @@
  * @param limits the limits that endpoints state, by run of the endpoint
  * @param crashEvidence what it knows about requests that crash endpoints; sent to a few
  * peers at a time
+ * @param queued its requests that wait for slots, for each pool that is ordered by cost
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
 		List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
-		@Nullable CrashEvidence crashEvidence) {
+		@Nullable CrashEvidence crashEvidence, List<QueuedWork> queued) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -42,12 +43,49 @@
 		rates = orEmpty(rates);
 		unserved = (unserved != null) ? List.copyOf(unserved) : List.of();
 		limits = orEmpty(limits);
+		queued = (queued != null) ? List.copyOf(queued) : List.of();
+	}
+
+	/**
+	 * Creates a message without requests that wait for slots.
+	 * @param incarnation the daemon's incarnation
+	 * @param address the IP address and port on which it listens for peers
+	 * @param number the sequence number
+	 * @param spent the tokens spent for each organisation
+	 * @param running the number of its running requests
+	 * @param waiting what its requests wait for
+	 * @param rates its recent requests per second for each model
+	 * @param unserved the models and adapters that it could not serve
+	 * @param placement the placement, {@code null} unless the sender places
+	 * @param limits the limits that endpoints state
+	 * @param crashEvidence what it knows about requests that crash endpoints
+	 */
+	public PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
+			Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
+			List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
+			@Nullable CrashEvidence crashEvidence) {
+		this(incarnation, address, number, spent, running, waiting, rates, unserved, placement, limits, crashEvidence,
+				List.of());
 	}
 
 	private static <V> Map<String, V> orEmpty(@Nullable Map<String, V> map) {
 		return (map != null) ? Map.copyOf(map) : Map.of();
 	}
 
+	/**
+	 * The requests of one kind that wait for slots of a pool.
+	 *
+	 * @param pool the pool
+	 * @param priority their priority, 0 is the highest; the last kind of a pool may stand
+	 * for lower ones, too
+	 * @param inTime whether they can still meet their objective
+	 * @param count the number of requests
+	 * @param work their tokens of prompt and output
+	 */
+	@JsonIgnoreProperties(ignoreUnknown = true)
+	public record QueuedWork(String pool, int priority, boolean inTime, int count, long work) {
+	}
+
 	/**
 	 * A limit that an endpoint stated.
 	 *
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
@@ -1,7 +1,9 @@
 package org.masticshelf.serving.peer;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -123,6 +125,25 @@
 		return silent;
 	}
 
+	/**
+	 * Returns the requests of peers that wait for slots of a pool.
+	 * @param pool the name of the pool
+	 * @return one entry for each peer that is not silent and kind of request
+	 */
+	public synchronized List<PeerQueue> queuedWork(String pool) {
+		long now = this.clock.milliseconds();
+		List<PeerQueue> queues = new ArrayList<>();
+		this.received.forEach((incarnation, entry) -> {
+			long age = now - entry.at();
+			for (PeerMessage.QueuedWork work : entry.message().queued()) {
+				if (age <= SILENT_MILLISECONDS && work.pool().equals(pool)) {
+					queues.add(new PeerQueue(incarnation, work, age));
+				}
+			}
+		});
+		return queues;
+	}
+
 	/**
 	 * Sums the running requests of all peers.
 	 * @return the number of requests by endpoint and model or adapter
@@ -164,6 +185,16 @@
 		return pool + "/" + loadable;
 	}
 
+	/**
+	 * The requests of one kind that wait at a peer.
+	 *
+	 * @param incarnation the incarnation of the peer
+	 * @param work the requests
+	 * @param age the age of its message in milliseconds
+	 */
+	public record PeerQueue(String incarnation, PeerMessage.QueuedWork work, long age) {
+	}
+
 	/**
 	 * A message and the time of its receipt.
 	 *
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -37,6 +37,8 @@
 
 	private final @Nullable LoadableName loadable;
 
+	private @Nullable UrgentArrivals urgentArrivals;
+
 	EndpointChooser(RequestContext context, ServedRequest request, String pool, @Nullable EngineProfile engine) {
 		this.context = context;
 		this.request = request;
@@ -45,6 +47,14 @@
 		this.loadable = (engine != null) ? request.loadable() : null;
 	}
 
+	/**
+	 * Leaves room for urgent requests from now on.
+	 * @param arrivals the urgent requests that arrived recently
+	 */
+	void keepRoomFor(UrgentArrivals arrivals) {
+		this.urgentArrivals = arrivals;
+	}
+
 	/**
 	 * Chooses an endpoint.
 	 * @param avoided endpoints that failed or refused this request, left out unless only
@@ -105,7 +115,8 @@
 		}
 		long tokens = Math.max(0, this.request.totalTokens());
 		double tokensPerRequest = (view.own() > 0) ? (double) view.ownTokens() / view.own() : tokens;
-		return requestCount >= endpoint.slots() || (requestCount > 0 && view.ownTokens()
+		int kept = (this.urgentArrivals != null) ? this.urgentArrivals.keptSlots(endpoint) : 0;
+		return requestCount >= endpoint.slots() - kept || (requestCount > 0 && view.ownTokens()
 				+ view.elsewhere() * tokensPerRequest + tokens > profile.contextTokens() * PLANNED_TOKEN_MEMORY_SHARE);
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/OrderedRequests.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/OrderedRequests.java
@@ -1,21 +1,19 @@
 package org.masticshelf.serving.request;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 import org.jspecify.annotations.Nullable;
 
-import org.masticshelf.kernel.admission.RecentWork;
 import org.masticshelf.kernel.admission.WaitingOrder;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.time.MonotonicClock;
+import org.masticshelf.serving.peer.PeerMessage;
 
 /**
  * Gives free slots to waiting requests in the order of {@link WaitingOrder}, in the pools
@@ -32,17 +30,6 @@
  */
 final class OrderedRequests {
 
-	/**
-	 * How often changes that nobody signals are examined, such as the end of an ejection.
-	 */
-	private static final long EXAMINATION_MILLISECONDS = 50;
-
-	/** How long an endpoint is expected to begin an answer until one has been seen. */
-	private static final double DEFAULT_START_MILLISECONDS = 150;
-
-	/** The weight of the latest answer in averages. */
-	private static final double SMOOTHING_FACTOR = 0.1;
-
 	private final MonotonicClock clock;
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -66,15 +53,11 @@
 	 * @param needs what the request needs
 	 * @return the turn, to be passed to {@link #leave}
 	 */
-	Turn create(String pool, Claim claim, Needs needs) {
+	QueuedTurn create(String pool, QueuedTurn.Claim claim, QueuedTurn.Needs needs) {
 		this.lock.lock();
 		try {
-			PoolQueue queue = this.pools.computeIfAbsent(pool, (name) -> new PoolQueue());
-			long start = (long) (needs.untilFirstEvent() ? queue.startMilliseconds
-					: Math.max(queue.startMilliseconds, queue.serviceMilliseconds));
-			WaitingOrder.Waiting waiting = new WaitingOrder.Waiting(needs.priority(), needs.arrivedAt(),
-					needs.objectiveMilliseconds(), needs.deadlineAt(), start, needs.work(), ++this.lastNumber);
-			return new Turn(queue, claim, needs, waiting, this.lock.newCondition());
+			PoolQueue queue = this.pools.computeIfAbsent(pool, PoolQueue::new);
+			return new QueuedTurn(queue, claim, needs, ++this.lastNumber, this.lock.newCondition());
 		}
 		finally {
 			this.lock.unlock();
@@ -87,30 +70,20 @@
 	 * @param turn the turn of the request
 	 * @return the endpoint with the claimed slot, {@code null} if the request has to wait
 	 */
-	@Nullable ServedEndpoint take(Turn turn) {
+	@Nullable ServedEndpoint take(QueuedTurn turn) {
 		this.lock.lock();
 		try {
-			PoolQueue queue = turn.queue;
-			boolean outdated = this.clock.milliseconds() - queue.examinedAt >= EXAMINATION_MILLISECONDS;
-			if (queue.turns.isEmpty()) {
-				// Changes are not examined while nobody waits.
-				queue.blocked.clear();
-			}
-			boolean arrives = turn.claimed == null && !turn.queued;
-			if (arrives) {
+			long now = this.clock.milliseconds();
+			if (!turn.hasSlot() && !turn.isQueued()) {
+				// A change that is signalled from here on is examined for this request.
 				this.size++;
-				turn.queued = true;
-				queue.turns.add(turn);
-			}
-			if (turn.claimed == null && outdated) {
-				examineChange(queue);
+				turn.setQueued(true);
+				this.size += turn.queue().add(turn, now) - 1;
 			}
-			else if (arrives) {
-				examine(queue, turn);
+			else if (!turn.hasSlot() && turn.queue().isExaminationDue(now)) {
+				this.size -= turn.queue().examineChange(now);
 			}
-			ServedEndpoint endpoint = turn.claimed;
-			turn.claimed = null;
-			return endpoint;
+			return turn.take();
 		}
 		finally {
 			this.lock.unlock();
@@ -122,16 +95,12 @@
 	 * @param turn the turn of the request
 	 * @param milliseconds the timeout
 	 */
-	void await(Turn turn, long milliseconds) {
+	void await(QueuedTurn turn, long milliseconds) {
 		this.lock.lock();
 		try {
 			// Each waiting request checks its limits now and then; many do so less often.
 			long bounded = Math.min(milliseconds, Math.clamp(2L * this.size, 100, 1_000));
-			long remainingNanoseconds = TimeUnit.MILLISECONDS.toNanos(bounded);
-			while (!turn.woken && remainingNanoseconds > 0) {
-				remainingNanoseconds = turn.wakeUp.awaitNanos(remainingNanoseconds);
-			}
-			turn.woken = false;
+			turn.await(TimeUnit.MILLISECONDS.toNanos(bounded));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -146,17 +115,15 @@
 	 * @param turn the turn
 	 * @return the endpoint with a slot that was claimed and not taken, to be released
 	 */
-	@Nullable ServedEndpoint leave(Turn turn) {
+	@Nullable ServedEndpoint leave(QueuedTurn turn) {
 		this.lock.lock();
 		try {
-			if (turn.queued) {
-				turn.queue.turns.remove(turn);
-				turn.queued = false;
+			if (turn.isQueued()) {
+				turn.queue().remove(turn);
+				turn.setQueued(false);
 				this.size--;
 			}
-			ServedEndpoint unused = turn.claimed;
-			turn.claimed = null;
-			return unused;
+			return turn.take();
 		}
 		finally {
 			this.lock.unlock();
@@ -172,7 +139,21 @@
 		this.lock.lock();
 		try {
 			this.examinationPending.getAndSet(false);
-			this.pools.values().forEach(this::examineChange);
+			long now = this.clock.milliseconds();
+			for (PoolQueue queue : this.pools.values()) {
+				this.size -= queue.examineChange(now);
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/** Wakes all waiting requests, so that they check whether they go on waiting. */
+	void wakeAll() {
+		this.lock.lock();
+		try {
+			this.pools.values().forEach(PoolQueue::wakeAll);
 		}
 		finally {
 			this.lock.unlock();
@@ -182,7 +163,7 @@
 	/**
 	 * Records that a request has left its slot.
 	 * @param pool the pool
-	 * @param startMilliseconds the time until the first event, negative if there was none
+	 * @param startMilliseconds how long the endpoint took to begin the answer
 	 * @param wholeMilliseconds how long the request occupied the slot
 	 */
 	void recordService(String pool, long startMilliseconds, long wholeMilliseconds) {
@@ -190,12 +171,7 @@
 		try {
 			PoolQueue queue = this.pools.get(pool);
 			if (queue != null) {
-				queue.serviceMilliseconds = (queue.serviceMilliseconds > 0)
-						? queue.serviceMilliseconds + SMOOTHING_FACTOR * (wholeMilliseconds - queue.serviceMilliseconds)
-						: Math.max(1, wholeMilliseconds);
-				if (startMilliseconds >= 0) {
-					queue.startMilliseconds += SMOOTHING_FACTOR * (startMilliseconds - queue.startMilliseconds);
-				}
+				queue.recordService(startMilliseconds, wholeMilliseconds);
 			}
 		}
 		finally {
@@ -208,213 +184,67 @@
 	 * @param turn the turn of the request
 	 * @return its place as of the last examination
 	 */
-	Place place(Turn turn) {
+	QueuedTurn.Place place(QueuedTurn turn) {
 		this.lock.lock();
 		try {
-			return new Place(turn.rank, turn.ahead, turn.aheadWork, turn.waiting.slack(this.clock.milliseconds()),
-					turn.queue.serviceMilliseconds);
+			return turn.place(this.clock.milliseconds());
 		}
 		finally {
 			this.lock.unlock();
 		}
 	}
 
-	private void examineChange(PoolQueue queue) {
-		queue.blocked.clear();
-		queue.examinedAt = this.clock.milliseconds();
-		if (!queue.turns.isEmpty()) {
-			examine(queue, null);
-		}
-	}
-
 	/**
-	 * Claims slots in order.
-	 * @param queue the queue of the pool
-	 * @param last the request after which the examination ends, {@code null} to examine
-	 * all
+	 * Records whether a request waits for a slot, rather than for a model that no engine
+	 * holds.
+	 * @param turn the turn of the request
+	 * @param waitsForSlot whether engines hold what it needs
 	 */
-	private void examine(PoolQueue queue, @Nullable Turn last) {
-		List<Turn> ranked = rank(queue);
-		int missedFrom = 0;
-		while (missedFrom < ranked.size() && !ranked.get(missedFrom).rank.isMissed()) {
-			missedFrom++;
-		}
-		int missed = missedFrom;
-		int inTime = 0;
-		while (inTime < missedFrom || missed < ranked.size()) {
-			boolean fromMissed = missed < ranked.size()
-					&& (inTime == missedFrom || WaitingOrder.isMissedDue(queue.slotsSinceMissed));
-			Turn turn = ranked.get(fromMissed ? missed++ : inTime++);
-			if (claim(queue, turn)) {
-				queue.slotsSinceMissed = fromMissed ? 0 : queue.slotsSinceMissed + 1;
-			}
-			if (turn == last) {
-				return;
-			}
-		}
-	}
-
-	// The queue was sorted before and has hardly changed since, so that sorting is cheap.
-	private List<Turn> rank(PoolQueue queue) {
-		long now = this.clock.milliseconds();
-		for (Turn turn : queue.turns) {
-			turn.rank = WaitingOrder.rank(turn.waiting, now, queue.recentWork.of(turn.needs.organisation()));
+	void recordWaitsForSlot(QueuedTurn turn, boolean waitsForSlot) {
+		this.lock.lock();
+		try {
+			turn.setWaitsForSlot(waitsForSlot);
 		}
-		queue.turns.sort(Comparator.comparing((turn) -> turn.rank));
-		Map<String, long[]> sums = new HashMap<>();
-		for (Turn turn : queue.turns) {
-			long[] sum = sums.computeIfAbsent(turn.needs.loadable(), (key) -> new long[2]);
-			turn.ahead = (int) sum[0]++;
-			turn.aheadWork = sum[1];
-			sum[1] += turn.waiting.work();
+		finally {
+			this.lock.unlock();
 		}
-		return new ArrayList<>(queue.turns);
 	}
 
-	private boolean claim(PoolQueue queue, Turn turn) {
-		if (turn.claim.isGone()) {
-			turn.wake();
-			return false;
+	/**
+	 * Summarises the requests that wait for slots.
+	 * @return at most {@value PoolQueue#MAXIMUM_KINDS} kinds of each pool, lower
+	 * priorities joined
+	 */
+	List<PeerMessage.QueuedWork> summary() {
+		if (this.size == 0) {
+			return List.of();
 		}
-		String loadable = turn.needs.loadable();
-		Long blockedWork = queue.blocked.get(loadable);
-		if (blockedWork != null && turn.waiting.work() >= blockedWork) {
-			return false;
+		List<PeerMessage.QueuedWork> result = new ArrayList<>();
+		this.lock.lock();
+		try {
+			long now = this.clock.milliseconds();
+			this.pools.values().forEach((queue) -> result.addAll(queue.summary(now)));
 		}
-		ServedEndpoint endpoint = turn.claim.claim();
-		if (endpoint == null) {
-			// A request that avoids endpoints says nothing about the others.
-			if (!turn.claim.avoidsEndpoints()) {
-				queue.blocked.merge(loadable, turn.waiting.work(), Math::min);
-			}
-			return false;
+		finally {
+			this.lock.unlock();
 		}
-		turn.claimed = endpoint;
-		turn.queued = false;
-		this.size--;
-		queue.turns.remove(turn);
-		queue.recentWork.add(turn.needs.organisation(), turn.waiting.work(), this.clock.milliseconds());
-		turn.wake();
-		return true;
-	}
-
-	/** Claims a slot for one request. Called under the lock. */
-	interface Claim {
-
-		/**
-		 * Chooses an endpoint with a free slot and counts the request as running there.
-		 * @return the endpoint, {@code null} if none that the request can use has one
-		 */
-		@Nullable ServedEndpoint claim();
-
-		/**
-		 * Returns whether endpoints have failed or refused this request.
-		 * @return whether it can use fewer endpoints than others of its kind
-		 */
-		boolean avoidsEndpoints();
-
-		/**
-		 * Returns whether the caller has disconnected.
-		 * @return whether the request ends without a slot
-		 */
-		boolean isGone();
-
+		return result;
 	}
 
 	/**
-	 * What decides on the rank of a request. Immutable.
-	 *
-	 * @param loadable the model or adapter, empty for none; requests for the same one can
-	 * use the same endpoints
-	 * @param organisation the organisation, empty for none
-	 * @param priority the priority, 0 is the highest
-	 * @param arrivedAt when it arrived, in milliseconds
-	 * @param objectiveMilliseconds its objective
-	 * @param untilFirstEvent whether the objective is for the first event of a stream
-	 * @param deadlineAt when its caller gives up, in milliseconds
-	 * @param work the tokens of its prompt and output
+	 * Counts the waiting requests.
+	 * @return their number by pool and priority
 	 */
-	record Needs(String loadable, String organisation, int priority, long arrivedAt, long objectiveMilliseconds,
-			boolean untilFirstEvent, long deadlineAt, long work) {
-	}
-
-	/**
-	 * Where a waiting request stands. Immutable.
-	 *
-	 * @param rank its rank
-	 * @param ahead the requests for the same model or adapter that rank before it
-	 * @param aheadWork their work in tokens
-	 * @param slackMilliseconds the time that it can wait and meet its objective, negative
-	 * if it misses it
-	 * @param serviceMilliseconds how long a request of its pool occupies a slot on
-	 * average, 0 if unknown
-	 */
-	record Place(WaitingOrder.Rank rank, int ahead, long aheadWork, long slackMilliseconds,
-			double serviceMilliseconds) {
-	}
-
-	/** The turn of one request. Guarded by the lock of the enclosing instance. */
-	static final class Turn {
-
-		private final PoolQueue queue;
-
-		private final Claim claim;
-
-		private final Needs needs;
-
-		private final WaitingOrder.Waiting waiting;
-
-		private final Condition wakeUp;
-
-		private WaitingOrder.Rank rank;
-
-		private @Nullable ServedEndpoint claimed;
-
-		private boolean queued;
-
-		private boolean woken;
-
-		private int ahead;
-
-		private long aheadWork;
-
-		private Turn(PoolQueue queue, Claim claim, Needs needs, WaitingOrder.Waiting waiting, Condition wakeUp) {
-			this.queue = queue;
-			this.claim = claim;
-			this.needs = needs;
-			this.waiting = waiting;
-			this.wakeUp = wakeUp;
-			this.rank = WaitingOrder.rank(waiting, waiting.arrivedAt(), 0);
+	Map<String, Map<Integer, Integer>> depths() {
+		this.lock.lock();
+		try {
+			Map<String, Map<Integer, Integer>> depths = new HashMap<>();
+			this.pools.forEach((pool, queue) -> depths.put(pool, queue.depths()));
+			return depths;
 		}
-
-		private void wake() {
-			this.woken = true;
-			this.wakeUp.signal();
+		finally {
+			this.lock.unlock();
 		}
-
-	}
-
-	/** The queue of one pool. Guarded by the lock of the enclosing instance. */
-	private static final class PoolQueue {
-
-		private final List<Turn> turns = new ArrayList<>();
-
-		private final RecentWork recentWork = new RecentWork();
-
-		/**
-		 * The least work of a request that could use no slot, by model or adapter, as of
-		 * the last change.
-		 */
-		private final Map<String, Long> blocked = new HashMap<>();
-
-		private int slotsSinceMissed;
-
-		private long examinedAt;
-
-		private double serviceMilliseconds;
-
-		private double startMilliseconds = DEFAULT_START_MILLISECONDS;
-
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestTurn.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestTurn.java
@@ -15,7 +15,7 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
-import org.masticshelf.serving.request.OrderedRequests.Needs;
+import org.masticshelf.serving.request.QueuedTurn.Needs;
 
 /**
  * Obtains an endpoint for one request, by order of cost or by arrival.
@@ -111,7 +111,15 @@
 					.with("loadable", this.subject.loadable())
 					.with("ready_in", readyIn)));
 		}
-		awaitChange(this.seenChanges, Math.min(milliseconds, RECHECK_MILLISECONDS));
+		awaitChange(this.seenChanges, milliseconds);
+	}
+
+	/**
+	 * Returns whether the request has waited in this turn.
+	 * @return whether it found no endpoint at its first check
+	 */
+	final boolean hasWaited() {
+		return this.entry != null;
 	}
 
 	abstract void awaitChange(long seen, long milliseconds);
@@ -192,28 +200,37 @@
 
 		@Override
 		void awaitChange(long seen, long milliseconds) {
-			this.subject.context().waitingRequests().awaitChange(seen, milliseconds);
+			this.subject.context().waitingRequests().awaitChange(seen, Math.min(milliseconds, RECHECK_MILLISECONDS));
 		}
 
 	}
 
 	/** Takes a free slot when it is this request's turn. */
-	private static final class ByCost extends RequestTurn implements OrderedRequests.Claim {
+	private static final class ByCost extends RequestTurn implements QueuedTurn.Claim {
 
 		private final OrderedRequests ordered;
 
-		private final OrderedRequests.Turn turn;
+		private final QueuedTurn turn;
+
+		private final long createdAt;
 
 		private @Nullable ServedEndpoint taken;
 
 		private ByCost(Subject subject) {
 			super(subject);
+			this.createdAt = subject.elapsed();
 			this.ordered = subject.context().waitingRequests().ordered();
 			ServedOrganisation payer = subject.admitted().organisation();
 			LoadableName loadable = subject.loadable();
 			ServedRoute route = subject.route();
 			long arrivedAt = subject.context().clock().milliseconds() - subject.elapsed();
 			long limit = Math.min(subject.request().deadlineMilliseconds(), route.timeoutMilliseconds());
+			if (route.objectiveMilliseconds() > UrgentArrivals.URGENT_OBJECTIVE_MILLISECONDS) {
+				this.chooser.keepRoomFor(subject.context().waitingRequests().urgentArrivals());
+			}
+			else if (loadable != null) {
+				subject.context().waitingRequests().urgentArrivals().record(subject.pool(), loadable.model());
+			}
 			this.turn = this.ordered.create(subject.pool(), this,
 					new Needs((loadable != null) ? loadable.toString() : "", (payer != null) ? payer.name() : "",
 							subject.priority(), arrivedAt, route.objectiveMilliseconds(),
@@ -226,6 +243,41 @@
 			return this.taken;
 		}
 
+		@Override
+		WaitDecision decide(long elapsed, long limit, long readyIn) {
+			SlotCapacity capacity = SlotCapacity.of(this.subject);
+			this.ordered.recordWaitsForSlot(this.turn, readyIn < 0 && capacity.slots() > 0);
+			if (readyIn >= 0 || capacity.slots() == 0) {
+				return super.decide(elapsed, limit, readyIn);
+			}
+			QueuedTurn.Place place = this.ordered.place(this.turn);
+			long left = limit - elapsed - ANSWER_START_MILLISECONDS;
+			QueueCutoffs.Verdict verdict = this.subject.context()
+				.waitingRequests()
+				.cutoffs()
+				.decide(this.subject.context().peers(), new QueueCutoffs.Inputs(this.subject.pool(), place,
+						capacity.slots(), capacity.shareOfPool(), left, hasWaited()));
+			if (verdict.expectedMilliseconds() < 0) {
+				return super.decide(elapsed, limit, readyIn);
+			}
+			if (verdict.admitted()) {
+				return new WaitDecision.Wait(left);
+			}
+			this.subject.context().metrics().recordTurnedAway(this.subject.pool(), this.subject.priority());
+			this.subject.context()
+				.log()
+				.accept(this.subject.events()
+					.apply("request.turned_away")
+					.with("position", place.ahead())
+					.with("cutoff", left)
+					.with("expected_ms", verdict.expectedMilliseconds())
+					.with("service_ms", (long) place.serviceMilliseconds())
+					.with("slots", capacity.slots())
+					.with("peers_age_ms", verdict.peersAgeMilliseconds()));
+			return new WaitDecision.Refuse(
+					Math.max(WaitDecision.MINIMUM_RETRY_AFTER_MILLISECONDS, verdict.retryAfterMilliseconds()));
+		}
+
 		@Override
 		public @Nullable ServedEndpoint claim() {
 			ServedEndpoint endpoint = this.chooser.choose(this.subject.avoided());
@@ -252,7 +304,7 @@
 
 		@Override
 		Event describe(Event event) {
-			OrderedRequests.Place place = this.ordered.place(this.turn);
+			QueuedTurn.Place place = this.ordered.place(this.turn);
 			return event.with("position", place.ahead())
 				.with("ahead_work", place.aheadWork())
 				.with("slack_ms", place.slackMilliseconds());
@@ -267,6 +319,11 @@
 		@Override
 		public void close() {
 			super.close();
+			if (hasWaited()) {
+				this.subject.context()
+					.metrics()
+					.recordWait(this.subject.pool(), this.subject.priority(), this.subject.elapsed() - this.createdAt);
+			}
 			ServedEndpoint claimed = this.ordered.leave(this.turn);
 			ServedEndpoint unused = (claimed != null) ? claimed : this.taken;
 			if (unused != null) {
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -18,12 +18,18 @@
 
 	private static final double NANOSECONDS_PER_SECOND = 1e9;
 
+	private static final double MILLISECONDS_PER_SECOND = 1e3;
+
 	private final Counter endedRequests;
 
 	private final Counter sentRequests;
 
 	private final Histogram latency;
 
+	private final Histogram waits;
+
+	private final Counter turnedAway;
+
 	/**
 	 * Creates the metrics and registers them.
 	 * @param registry the registry
@@ -45,6 +51,34 @@
 			.labelNames("outcome")
 			.classicOnly()
 			.register(registry);
+		this.waits = Histogram.builder()
+			.name("masticshelf_serving_queue_wait_seconds")
+			.help("Time that requests waited in pools that are ordered by cost, by pool and priority.")
+			.labelNames("pool", "priority")
+			.classicOnly()
+			.register(registry);
+		this.turnedAway = Counter.builder()
+			.name("masticshelf_serving_requests_turned_away_total")
+			.help("Requests refused at once because they could not start in time, by pool and priority.")
+			.labelNames("pool", "priority")
+			.register(registry);
+	}
+
+	/**
+	 * Registers the metric of the requests that wait in pools that are ordered by cost.
+	 * @param registry the registry
+	 * @param waitingRequests the source of the values
+	 */
+	public static void registerQueues(PrometheusRegistry registry, WaitingRequests waitingRequests) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_queue_depth")
+			.help("Requests that wait in pools that are ordered by cost, by pool and priority.")
+			.labelNames("pool", "priority")
+			.callback((callback) -> waitingRequests.ordered()
+				.depths()
+				.forEach((pool, depths) -> depths
+					.forEach((priority, count) -> callback.call(count, pool, priority.toString()))))
+			.register(registry);
 	}
 
 	/**
@@ -124,6 +158,25 @@
 		this.latency.labelValues(outcome).observe(nanoseconds / NANOSECONDS_PER_SECOND);
 	}
 
+	/**
+	 * Records the end of a wait in a pool that is ordered by cost.
+	 * @param pool the pool
+	 * @param priority the priority of the request
+	 * @param milliseconds how long it waited
+	 */
+	void recordWait(String pool, int priority, long milliseconds) {
+		this.waits.labelValues(pool, Integer.toString(priority)).observe(milliseconds / MILLISECONDS_PER_SECOND);
+	}
+
+	/**
+	 * Records that a request was turned away because it could not start in time.
+	 * @param pool the pool
+	 * @param priority the priority of the request
+	 */
+	void recordTurnedAway(String pool, int priority) {
+		this.turnedAway.labelValues(pool, Integer.toString(priority)).inc();
+	}
+
 	/**
 	 * Records that a request was sent to an endpoint.
 	 * @param pool the pool
--- a/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/WaitingRequests.java
@@ -38,6 +38,12 @@
 
 	private final OrderedRequests ordered;
 
+	private final QueueCutoffs cutoffs;
+
+	private final UrgentArrivals urgentArrivals;
+
+	private volatile boolean costAllowed = true;
+
 	private long changeCount;
 
 	/**
@@ -49,6 +55,41 @@
 		this.clock = clock;
 		this.onEntry = onEntry;
 		this.ordered = new OrderedRequests(clock);
+		this.cutoffs = new QueueCutoffs(clock);
+		this.urgentArrivals = new UrgentArrivals(clock);
+	}
+
+	/**
+	 * Sets whether requests may be ordered by cost.
+	 * @param allowed whether they are ordered so in the pools whose routes ask for it,
+	 * rather than by arrival everywhere
+	 */
+	public void setCostAllowed(boolean allowed) {
+		this.costAllowed = allowed;
+	}
+
+	/**
+	 * Summarises the requests that wait for slots of pools that are ordered by cost.
+	 * @return a bounded number of entries for each pool
+	 */
+	public List<PeerMessage.QueuedWork> queuedWork() {
+		return this.ordered.summary();
+	}
+
+	/**
+	 * Returns the cutoffs of the pools that are ordered by cost.
+	 * @return the cutoffs
+	 */
+	QueueCutoffs cutoffs() {
+		return this.cutoffs;
+	}
+
+	/**
+	 * Returns the urgent requests that arrived recently.
+	 * @return the requests in pools that are ordered by cost
+	 */
+	UrgentArrivals urgentArrivals() {
+		return this.urgentArrivals;
 	}
 
 	/**
@@ -66,8 +107,8 @@
 	 * @return whether it has engines and its routes state different priorities
 	 */
 	boolean isOrderedByCost(@Nullable ServedTables tables, String pool) {
-		return tables != null && tables.hasSeveralPriorities(pool) && tables.findPool(pool) instanceof ServedPool found
-				&& found.engine() != null;
+		return this.costAllowed && tables != null && tables.hasSeveralPriorities(pool)
+				&& tables.findPool(pool) instanceof ServedPool found && found.engine() != null;
 	}
 
 	/**
@@ -100,6 +141,12 @@
 		this.ordered.signal();
 	}
 
+	/** Wakes all waiting requests, so that each checks whether it goes on waiting. */
+	public void wakeAll() {
+		signal();
+		this.ordered.wakeAll();
+	}
+
 	/**
 	 * Adds a request.
 	 * @param pool the pool
--- a/serving/src/test/java/org/masticshelf/serving/request/OrderedRequestsTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/OrderedRequestsTests.java
@@ -34,18 +34,18 @@
 	/** The free slots of the engine of each model. */
 	private final Map<String, Integer> freeSlots = new HashMap<>();
 
-	private final Map<String, OrderedRequests.Turn> turns = new HashMap<>();
+	private final Map<String, QueuedTurn> turns = new HashMap<>();
 
 	private Claim arrive(String name, String model, int priority, long objective, long work) {
 		Claim claim = new Claim(model);
-		OrderedRequests.Turn turn = this.requests.create("pool", claim, new OrderedRequests.Needs(model, "org",
-				priority, this.clock.milliseconds(), objective, true, this.clock.milliseconds() + 15_000, work));
+		QueuedTurn turn = this.requests.create("pool", claim, new QueuedTurn.Needs(model, "org", priority,
+				this.clock.milliseconds(), objective, true, this.clock.milliseconds() + 15_000, work));
 		this.turns.put(name, turn);
 		claim.taken = this.requests.take(turn) != null;
 		return claim;
 	}
 
-	private OrderedRequests.Turn turn(String name) {
+	private QueuedTurn turn(String name) {
 		return Objects.requireNonNull(this.turns.get(name));
 	}
 
@@ -174,8 +174,8 @@
 		for (int number = 0; number < STRESSED_REQUESTS; number++) {
 			int priority = number % 3;
 			Thread.startVirtualThread(() -> {
-				OrderedRequests.Turn turn = this.requests.create("pool", new Claim("m"),
-						new OrderedRequests.Needs("m", "org", priority, 0, 1_000, true, 15_000, priority));
+				QueuedTurn turn = this.requests.create("pool", new Claim("m"),
+						new QueuedTurn.Needs("m", "org", priority, 0, 1_000, true, 15_000, priority));
 				while (this.requests.take(turn) == null) {
 					this.requests.await(turn, 1_000);
 				}
@@ -189,7 +189,7 @@
 	}
 
 	/** Claims a slot at the engine of a model. */
-	private final class Claim implements OrderedRequests.Claim {
+	private final class Claim implements QueuedTurn.Claim {
 
 		private final String model;
 
