--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -16,9 +16,12 @@
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
  * @param coldBound how many requests a cold endpoint may get within one second
+ * @param orderedByCost whether waiting requests are ordered by cost where routes state
+ * different priorities, rather than by arrival everywhere
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound) {
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound,
+		boolean orderedByCost) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -57,6 +60,8 @@
 
 		private ColdBound coldBound = ColdBound.DEFAULT;
 
+		private boolean orderedByCost = true;
+
 		private Builder() {
 		}
 
@@ -142,13 +147,25 @@
 			return this;
 		}
 
+		/**
+		 * Sets how waiting requests are ordered.
+		 * @param byCost whether they are ordered by cost where routes state different
+		 * priorities, rather than by arrival everywhere
+		 * @return this builder
+		 */
+		public Builder orderingByCost(boolean byCost) {
+			this.orderedByCost = byCost;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound,
+					this.orderedByCost);
 		}
 
 	}
