--- a/serving/src/main/java/org/masticshelf/serving/request/PoolQueue.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/PoolQueue.java
@@ -56,7 +56,7 @@
 
 	private int slotsSinceMissed;
 
-	private long examinedAt;
+	private long examinedAt = Long.MIN_VALUE / 2;
 
 	private double serviceMilliseconds;
 
--- a/serving/src/test/java/org/masticshelf/serving/request/OrderedRequestsTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/OrderedRequestsTests.java
@@ -37,8 +37,12 @@
 	private final Map<String, QueuedTurn> turns = new HashMap<>();
 
 	private Claim arrive(String name, String model, int priority, long objective, long work) {
+		return arrive(name, model, priority, objective, work, "org");
+	}
+
+	private Claim arrive(String name, String model, int priority, long objective, long work, String organisation) {
 		Claim claim = new Claim(model);
-		QueuedTurn turn = this.requests.create("pool", claim, new QueuedTurn.Needs(model, "org", priority,
+		QueuedTurn turn = this.requests.create("pool", claim, new QueuedTurn.Needs(model, organisation, priority,
 				this.clock.milliseconds(), objective, true, this.clock.milliseconds() + 15_000, work));
 		this.turns.put(name, turn);
 		claim.taken = this.requests.take(turn) != null;
@@ -81,6 +85,27 @@
 		Truth.assertThat(takes("earlier") || takes("later")).isTrue();
 	}
 
+	/**
+	 * Guards against an organisation that sends many requests and delays equal ones of
+	 * others. Old work must not count.
+	 * @param ago how long ago its other request got a slot, in milliseconds
+	 * @param first which of the equal requests gets the slot
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0, other", "3000, other", "60000, again" })
+	void organisationWithLessRecentWorkComesFirst(long ago, String first) {
+		this.freeSlots.put("m", 1);
+		arrive("before", "m", 1, 1_000, 100, "large");
+		this.clock.advance(Duration.ofMillis(ago));
+		this.freeSlots.put("m", 1);
+		arrive("small", "m", 1, 1_000, 1, "third");
+		arrive("again", "m", 1, 1_000, 100, "large");
+		arrive("other", "m", 1, 1_000, 100, "other");
+		release("m");
+		Truth.assertThat(takes("again")).isEqualTo(first.equals("again"));
+		Truth.assertThat(takes("other")).isEqualTo(first.equals("other"));
+	}
+
 	/**
 	 * Guards against head-of-line blocking: a request whose model no engine holds, or
 	 * whose engines state a limit, must not hold back requests for other models.
