Bound the memory held for slow callers and endpoints

An announced body was allocated at once and a plain answer of up to 8 MB was queued until its caller took it, both without any limit of their sum. A caller that blocked a stream also made its endpoint look silent.

A plain answer above 256 KB is relayed in parts, so that it is read only as fast as its caller takes it; such an answer is neither retried nor replaced by an error once it has begun. The time until a caller takes an event no longer counts as silence of the endpoint, and a caller that stalls no longer as its failure. The bodies in progress at an endpoint are bounded by 16 MB; requests beyond wait as for an endpoint without a free slot.

SlowReaderTests (6) use a listener, requests and an endpoint in one process. They pass, as do HeldBytesLedgerTests (12) and ServingListenerTests (34).

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -35,6 +35,8 @@
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
+import org.masticshelf.serving.request.EndpointBodies;
+import org.masticshelf.serving.request.HeldBytesLedger;
 import org.masticshelf.serving.request.ModelRates;
 import org.masticshelf.serving.request.PlannedStop;
 import org.masticshelf.serving.request.RequestContext;
@@ -126,6 +128,9 @@
 
 	private final Placement placement;
 
+	/** Bounds the bytes held for slow readers, {@code null} for no bound. */
+	private final @Nullable HeldBytesLedger heldBytes;
+
 	private final RequestForwarder forwarder;
 
 	private final PeerExchange peerExchange;
@@ -163,10 +168,17 @@
 		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
 				this.peerRegistry, this.grants, this.loads, this.directory, this.waitingRequests, this.unserved,
 				this.rates, this.placement, this.endpointLimits, this.quarantine), this.clock, this.scheduler);
+		EndpointBodies endpointBodies = EndpointBodies.unbounded();
+		this.heldBytes = HeldBytesLedger.create(settings.memoryMegabytes(), this.clock, EventLog::info);
+		if (this.heldBytes != null) {
+			endpointBodies = new EndpointBodies(EndpointBodies.BOUND_BYTES, EventLog::info);
+			ServingMetrics.registerHeldBytes(this.metrics, this.heldBytes, endpointBodies);
+		}
 		this.forwarder = new RequestForwarder(new RequestContext(this::tables, this.directory, this.loads,
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.unserved, this.rates,
 				new RetryBudgets(), this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(),
-				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
+				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info,
+				endpointBodies));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
@@ -195,7 +207,10 @@
 	private void startComponents() {
 		this.listener = ServingListener.start(new ServingListener.Settings(this.settings.callers(),
 				this.settings.probes(), this::isReady, this.metrics, this::bodyLimit), this.ports.requests(),
-				this.forwarder);
+				this.forwarder, this.heldBytes);
+		if (this.heldBytes != null) {
+			scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this.heldBytes::relieve);
+		}
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
 		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -14,9 +14,11 @@
  * @param settleMilliseconds how long a new holder of a duty waits before its first order
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
+ * @param memoryMegabytes the memory of the process that bounds the bytes held for slow
+ * readers, 0 for no bound
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce) {
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, long memoryMegabytes) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -53,6 +55,8 @@
 
 		private int storeLoadsAtOnce = DEFAULT_STORE_LOADS_AT_ONCE;
 
+		private long memoryMegabytes;
+
 		private Builder() {
 		}
 
@@ -128,13 +132,23 @@
 			return this;
 		}
 
+		/**
+		 * Sets the memory of the process that bounds the bytes held for slow readers.
+		 * @param megabytes the memory, 0 for no bound
+		 * @return this builder
+		 */
+		public Builder withMemory(long megabytes) {
+			this.memoryMegabytes = megabytes;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.memoryMegabytes);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/caller/CallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/CallerChannel.java
@@ -52,4 +52,20 @@
 	 */
 	void closeAfterAnswer();
 
+	/**
+	 * Returns how many bytes of an answer may be read from its endpoint before the caller
+	 * takes them.
+	 * @return the number of bytes, {@link Long#MAX_VALUE} if it is not limited
+	 */
+	default long readAheadBytes() {
+		return Long.MAX_VALUE;
+	}
+
+	/**
+	 * Records that the body of the request is not needed any more.
+	 */
+	default void releaseBody() {
+		// The bytes that are held for this caller are not counted.
+	}
+
 }
--- a/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -19,6 +20,7 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import org.jspecify.annotations.Nullable;
 import org.xnio.Options;
 
 import org.masticshelf.kernel.serving.ServedRequest;
@@ -61,11 +63,15 @@
 
 	private final RequestHandler handler;
 
+	private final @Nullable CallerMemory memory;
+
 	private final Set<HttpServerExchange> unanswered = ConcurrentHashMap.newKeySet();
 
 	private final Undertow server;
 
-	private ServingListener(Settings settings, RequestCodec codec, RequestHandler handler) {
+	private ServingListener(Settings settings, RequestCodec codec, RequestHandler handler,
+			@Nullable CallerMemory memory) {
+		this.memory = memory;
 		this.settings = settings;
 		this.codec = codec;
 		this.handler = handler;
@@ -94,7 +100,20 @@
 	 * @return the running listener
 	 */
 	public static ServingListener start(Settings settings, RequestCodec codec, RequestHandler handler) {
-		ServingListener listener = new ServingListener(settings, codec, handler);
+		return start(settings, codec, handler, null);
+	}
+
+	/**
+	 * Starts a listener that limits the bytes held for callers.
+	 * @param settings the addresses and the state to expose
+	 * @param codec decodes requests
+	 * @param handler handles the decoded requests
+	 * @param memory accounts for the bytes that are held, {@code null} for no limit
+	 * @return the running listener
+	 */
+	public static ServingListener start(Settings settings, RequestCodec codec, RequestHandler handler,
+			@Nullable CallerMemory memory) {
+		ServingListener listener = new ServingListener(settings, codec, handler, memory);
 		listener.server.start();
 		return listener;
 	}
@@ -141,12 +160,40 @@
 			refuse(exchange, STATUS_TOO_LARGE);
 			return;
 		}
+		CallerMemory limited = this.memory;
+		if (limited != null) {
+			receiveAccounted(exchange, limited, limit, arrivedNanoseconds);
+			return;
+		}
 		exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(limit, Integer.MAX_VALUE));
 		exchange.getRequestReceiver()
-			.receiveFullBytes((receiving, body) -> decode(receiving, body, arrivedNanoseconds),
+			.receiveFullBytes(
+					(receiving, body) -> decode(receiving, body, arrivedNanoseconds,
+							(request) -> new UndertowCallerChannel(receiving)),
 					(failing, failure) -> refuse(failing, STATUS_BAD_REQUEST));
 	}
 
+	// The identifier is needed in the log before the body is read.
+	private void receiveAccounted(HttpServerExchange exchange, CallerMemory limited, long limit,
+			long arrivedNanoseconds) {
+		if (!(this.codec.decode(rawRequest(exchange, new byte[0])) instanceof Decoded.Valid head)) {
+			refuse(exchange, STATUS_BAD_REQUEST);
+			return;
+		}
+		AccountedReceiver receiver = new AccountedReceiver(exchange, limit);
+		switch (limited.admit(head.request().identifier(), receiver.announcedBytes())) {
+			case CallerMemory.Decision.Refused refused -> receiver.refuse(refused.retryAfterMilliseconds());
+			case CallerMemory.Decision.Accepted accepted -> {
+				Function<ServedRequest, UndertowCallerChannel> channels = (request) -> {
+					receiver.handOver();
+					return new AccountedCallerChannel(exchange, request.identifier(), limited, accepted.body());
+				};
+				receiver.receive(accepted.body(), (body) -> decode(exchange, body, arrivedNanoseconds, channels),
+						() -> refuse(exchange, STATUS_BAD_REQUEST));
+			}
+		}
+	}
+
 	private static boolean isAmbiguous(HttpServerExchange exchange) {
 		HeaderValues lengths = exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH);
 		HeaderValues encodings = exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
@@ -168,7 +215,7 @@
 		exchange.endExchange();
 	}
 
-	private void decode(HttpServerExchange exchange, byte[] body, long arrivedNanoseconds) {
+	private static RawRequest rawRequest(HttpServerExchange exchange, byte[] body) {
 		List<Header> headers = new ArrayList<>();
 		for (HeaderValues values : exchange.getRequestHeaders()) {
 			for (String value : values) {
@@ -176,14 +223,17 @@
 			}
 		}
 		String query = exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString();
-		Decoded decoded = this.codec.decode(new RawRequest(exchange.getRequestMethod().toString(),
-				exchange.getRequestURI() + query, headers, body));
-		switch (decoded) {
+		return new RawRequest(exchange.getRequestMethod().toString(), exchange.getRequestURI() + query, headers, body);
+	}
+
+	private void decode(HttpServerExchange exchange, byte[] body, long arrivedNanoseconds,
+			Function<ServedRequest, UndertowCallerChannel> channels) {
+		switch (this.codec.decode(rawRequest(exchange, body))) {
 			case Decoded.Malformed malformed -> refuse(exchange, STATUS_BAD_REQUEST);
 			case Decoded.Valid valid -> {
 				countUntilAnswered(exchange);
 				exchange.dispatch(SameThreadExecutor.INSTANCE, () -> this.handler.handle(valid.request(),
-						new UndertowCallerChannel(exchange), arrivedNanoseconds));
+						channels.apply(valid.request()), arrivedNanoseconds));
 			}
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
@@ -30,7 +30,7 @@
  * which alone accesses the exchange. Invariant: at most {@value #MAXIMUM_QUEUED_BYTES}
  * bytes and one buffer are queued. Thread-safe.
  */
-final class UndertowCallerChannel implements CallerChannel {
+class UndertowCallerChannel implements CallerChannel {
 
 	private static final int MAXIMUM_QUEUED_BYTES = 256 * 1024;
 
@@ -70,7 +70,27 @@
 		});
 	}
 
+	/** Disconnects the caller, so that an answer that was started stays incomplete. */
+	final void disconnect() {
+		handleClose();
+		this.exchange.getIoThread().execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
+	}
+
+	/**
+	 * Records that the caller has taken queued bytes.
+	 * @param bytes the number of bytes
+	 */
+	void recordTaken(int bytes) {
+		// The bytes are not counted.
+	}
+
+	/** Records that nothing is held for the caller any more. */
+	void recordNothingHeld() {
+		// The bytes are not counted.
+	}
+
 	private void handleClose() {
+		recordNothingHeld();
 		List<Runnable> actions;
 		this.lock.lock();
 		try {
@@ -173,6 +193,7 @@
 
 	@Override
 	public void abort() {
+		recordNothingHeld();
 		this.lock.lock();
 		try {
 			this.finished = true;
@@ -215,10 +236,12 @@
 					break;
 				}
 				while (next.hasRemaining()) {
-					if (channel.write(next) == 0) {
+					int count = channel.write(next);
+					if (count == 0) {
 						resumeWhenWritable(channel);
 						return;
 					}
+					recordTaken(count);
 				}
 				removeWritten(next);
 			}
@@ -253,6 +276,7 @@
 	}
 
 	private void finish() {
+		recordNothingHeld();
 		this.lock.lock();
 		try {
 			this.finished = true;
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -60,6 +60,7 @@
 		for (ServedEndpoint endpoint : holding) {
 			EndpointLoads.View view = this.context.loads().view(endpoint);
 			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
+					|| !this.context.endpointBodies().hasRoom(endpoint, this.request.body().length)
 					|| this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0;
 			candidates.add(new EndpointSelection.Candidate(endpoint.identifier(), view.own() + view.elsewhere(),
 					endpoint.failureDomain().equals(this.context.failureDomain()), full, view.penalty()));
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -6,6 +6,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -38,6 +39,12 @@
 
 	private static final int BUFFER_BYTES = 8 * 1024;
 
+	/**
+	 * The minimum time for the next part of an answer that waits for its caller, so that
+	 * a slow caller does not make the endpoint look silent.
+	 */
+	private static final long MINIMUM_PART_MILLISECONDS = 1_000;
+
 	/** Late answers to earlier requests that are skipped on a connection. */
 	private static final int MAXIMUM_STALE_ANSWERS = 4;
 
@@ -201,6 +208,9 @@
 		if (answer.status() == 200 && type != null && type.startsWith("text/event-stream")) {
 			return relayStream(connection, answer, relay);
 		}
+		if (successful && this.caller.readAheadBytes() < MAXIMUM_ANSWER_BYTES && !relay.isStarted()) {
+			return relayPlain(connection, answer, relay);
+		}
 		byte[] body = readBody(connection);
 		if (!successful && STATUSES_THAT_SUGGEST_NOT_RUN.contains(answer.status())) {
 			return new ExchangeResult.Lost("status " + answer.status() + " without a word that nothing ran",
@@ -228,6 +238,12 @@
 				empty = false;
 			}
 			relay.forward(headers, events);
+			if (this.caller.readAheadBytes() < MAXIMUM_ANSWER_BYTES
+					&& events.stream().anyMatch(StreamEvent::hasField)) {
+				// The time until the caller has taken the event is no silence of the
+				// endpoint.
+				this.limits.recordHead();
+			}
 		}
 		if (splitter.hasPartialEvent()) {
 			throw UpstreamException.disconnected("the stream ended within an event");
@@ -236,7 +252,49 @@
 			throw UpstreamException.disconnected("the stream ended before its first event");
 		}
 		relay.end(headers);
-		return new ExchangeResult.Streamed();
+		return new ExchangeResult.Streamed(answer.status());
+	}
+
+	// An answer that is not read completely ahead of its caller is passed on in parts. It
+	// can then neither be sent again nor be replaced by an error.
+	private ExchangeResult relayPlain(HttpConnection connection, AnswerHead answer, StreamRelay relay)
+			throws IOException {
+		throwIfTooLong(answer.length());
+		List<Header> headers = forwardedHeaders(answer);
+		ByteArrayOutputStream start = new ByteArrayOutputStream();
+		CallerChannel taker = null;
+		byte[] buffer = new byte[BUFFER_BYTES];
+		long total = 0;
+		while (true) {
+			long left = this.limits.totalMilliseconds();
+			int count = connection.read(buffer, (taker != null) ? Math.max(left, MINIMUM_PART_MILLISECONDS) : left);
+			if (count < 0) {
+				break;
+			}
+			total += count;
+			throwIfTooLong(total);
+			if (taker != null) {
+				taker.write(Arrays.copyOf(buffer, count));
+				continue;
+			}
+			start.write(buffer, 0, count);
+			if (start.size() + BUFFER_BYTES > this.caller.readAheadBytes()) {
+				taker = relay.beginPlain(answer.status(), headers, answer.length());
+				taker.write(start.toByteArray());
+				start = new ByteArrayOutputStream();
+			}
+		}
+		if (taker == null) {
+			return new ExchangeResult.Answered(answer.status(), headers, start.toByteArray());
+		}
+		taker.end();
+		return new ExchangeResult.Streamed(answer.status());
+	}
+
+	private static void throwIfTooLong(long bytes) throws IOException {
+		if (bytes > MAXIMUM_ANSWER_BYTES) {
+			throw new IOException("an answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
+		}
 	}
 
 	private byte[] readBody(HttpConnection connection) throws IOException {
@@ -248,9 +306,7 @@
 				return body.toByteArray();
 			}
 			body.write(buffer, 0, count);
-			if (body.size() > MAXIMUM_ANSWER_BYTES) {
-				throw new IOException("an answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
-			}
+			throwIfTooLong(body.size());
 		}
 	}
 
@@ -325,8 +381,8 @@
 		void recordPause(long milliseconds);
 
 		/**
-		 * Records that the head of a stream has arrived. Bytes that complete neither a
-		 * head nor an event do not extend a timeout.
+		 * Records that the head of a stream has arrived, or that the caller has taken an
+		 * event. Bytes that complete neither a head nor an event do not extend a timeout.
 		 */
 		void recordHead();
 
--- a/serving/src/main/java/org/masticshelf/serving/request/ExchangeResult.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ExchangeResult.java
@@ -37,8 +37,12 @@
 	record Answered(int status, List<Header> headers, byte[] body) implements ExchangeResult {
 	}
 
-	/** A complete stream was delivered to the caller. */
-	record Streamed() implements ExchangeResult {
+	/**
+	 * A complete stream, or a long answer in parts, was delivered to the caller.
+	 *
+	 * @param status the HTTP status
+	 */
+	record Streamed(int status) implements ExchangeResult {
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -141,7 +141,8 @@
 			if (endpoint == null) {
 				return;
 			}
-			if (!this.context.endpointLimits().tryTake(endpoint)) {
+			if (!this.context.endpointLimits().tryTake(endpoint)
+					|| !this.context.endpointBodies().tryBegin(endpoint, this.request.body().length)) {
 				continue;
 			}
 			ExchangeResult result = send(endpoint);
@@ -315,6 +316,7 @@
 				.run(this.relay);
 		}
 		finally {
+			this.context.endpointBodies().end(endpoint, this.request.body().length);
 			this.context.loads().recordEnd(endpoint, loadable(), tokens());
 			this.context.waitingRequests().signal();
 		}
@@ -341,7 +343,7 @@
 				recordServed();
 				this.context.loads().recordAnswer(endpoint, true);
 				this.context.retries().recordExchange(pool(), true);
-				yield finish("served", 200);
+				yield finish("served", streamed.status());
 			}
 			case ExchangeResult.Answered answered -> handleAnswer(endpoint, answered);
 			case ExchangeResult.Unreached unreached -> {
@@ -395,11 +397,8 @@
 				.with("status", notRun.status())
 				.with("lacking", notRun.lacking()));
 		this.avoidedEndpoints.add(endpoint.identifier());
-		boolean mayTryAnother = this.attempts < route().maximumAttempts();
-		if (mayTryAnother && this.context.retries().tryTake(pool())) {
-			return true;
-		}
-		return giveUpAfterFailure(true);
+		return (this.attempts < route().maximumAttempts() && this.context.retries().tryTake(pool()))
+				|| giveUpAfterFailure(true);
 	}
 
 	private boolean handleLoss(ServedEndpoint endpoint, ExchangeResult.Lost lost) {
@@ -444,7 +443,7 @@
 
 	private boolean mayRetry() {
 		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts() && endsBeforeStop()
-				&& (this.harmless || examineRequest() instanceof Finding.Clear);
+				&& this.relay.isResumable() && (this.harmless || examineRequest() instanceof Finding.Clear);
 	}
 
 	private void giveUpWithoutEndpoint(long retryAfter, long readyInMilliseconds) {
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestForwarder.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestForwarder.java
@@ -48,6 +48,7 @@
 			caller.abort();
 		}
 		finally {
+			caller.releaseBody();
 			this.activeRequests.decrementAndGet();
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
+import org.masticshelf.kernel.admission.HeldBytes;
 import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.serving.endpoint.EndpointLimits;
 import org.masticshelf.serving.placement.StarvationMonitor;
@@ -114,6 +115,46 @@
 		store.addRestoreListener(restorations::inc);
 	}
 
+	/**
+	 * Registers the metrics of the bytes that are held for slow readers.
+	 * @param registry the registry
+	 * @param held the source of the values of this daemon
+	 * @param bodies the source of the values of endpoints
+	 */
+	public static void registerHeldBytes(PrometheusRegistry registry, HeldBytesLedger held, EndpointBodies bodies) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_held_bytes")
+			.help("Bytes held for callers and endpoints, by direction, and their limit.")
+			.labelNames("kind")
+			.callback((callback) -> {
+				HeldBytes.Holdings holdings = held.holdings();
+				callback.call(holdings.bodies(), "bodies");
+				callback.call(holdings.answers(), "answers");
+				callback.call(holdings.limit(), "limit");
+			})
+			.register(registry);
+		CounterWithCallback.builder()
+			.name("masticshelf_serving_memory_refusals_total")
+			.help("Requests that were refused because too many bytes were held.")
+			.callback((callback) -> callback.call(held.refusals()))
+			.register(registry);
+		CounterWithCallback.builder()
+			.name("masticshelf_serving_answers_given_up_total")
+			.help("Answers given up because too many bytes were held and their caller took none.")
+			.callback((callback) -> callback.call(held.answersGivenUp()))
+			.register(registry);
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_endpoint_body_bytes")
+			.help("Bytes of the bodies in progress at the endpoint that has most.")
+			.callback((callback) -> callback.call(bodies.largestSum()))
+			.register(registry);
+		CounterWithCallback.builder()
+			.name("masticshelf_serving_endpoint_bodies_held_back_total")
+			.help("Times that an endpoint was not chosen because of its bodies in progress.")
+			.callback((callback) -> callback.call(bodies.heldBack()))
+			.register(registry);
+	}
+
 	/**
 	 * Records the end of a request.
 	 * @param outcome the outcome label
--- a/serving/src/main/java/org/masticshelf/serving/request/StreamRelay.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/StreamRelay.java
@@ -14,7 +14,8 @@
  * is resumed.
  * <p>
  * Invariant: each event is delivered completely and once, in the order of the
- * identifiers; the headers are those of the first attempt. Not thread-safe.
+ * identifiers; the headers are those of the first attempt. A plain answer that is relayed
+ * in parts cannot be resumed. Not thread-safe.
  */
 final class StreamRelay {
 
@@ -22,6 +23,8 @@
 
 	private boolean started;
 
+	private boolean plain;
+
 	private @Nullable String lastIdentifier;
 
 	/**
@@ -103,6 +106,29 @@
 		this.caller.end();
 	}
 
+	/**
+	 * Starts to relay a plain answer, of which {@link CallerChannel#write} takes the
+	 * parts.
+	 * @param status the HTTP status
+	 * @param headers the headers of the answer
+	 * @param length the length of the body, negative if unknown
+	 * @return the channel to the caller
+	 */
+	CallerChannel beginPlain(int status, List<Header> headers, long length) {
+		this.started = true;
+		this.plain = true;
+		this.caller.begin(status, headers, length);
+		return this.caller;
+	}
+
+	/**
+	 * Returns whether another endpoint may go on with what the caller has so far.
+	 * @return whether no part of a plain answer was sent to the caller
+	 */
+	boolean isResumable() {
+		return !this.plain;
+	}
+
 	/** An endpoint skipped an event. */
 	static final class MissingEventException extends IOException {
 
