--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -18,10 +18,12 @@
  * @param coldBound how many requests a cold endpoint may get within one second
  * @param orderedByCost whether waiting requests are ordered by cost where routes state
  * different priorities, rather than by arrival everywhere
+ * @param memoryMegabytes the memory of the process that bounds the bytes held for slow
+ * readers, 0 for no bound
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
 		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound,
-		boolean orderedByCost) {
+		boolean orderedByCost, long memoryMegabytes) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -62,6 +64,8 @@
 
 		private boolean orderedByCost = true;
 
+		private long memoryMegabytes;
+
 		private Builder() {
 		}
 
@@ -158,6 +162,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the memory of the process that bounds the bytes held for slow readers.
+		 * @param megabytes the memory, 0 for no bound
+		 * @return this builder
+		 */
+		public Builder withMemory(long megabytes) {
+			this.memoryMegabytes = megabytes;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -165,7 +179,7 @@
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
 					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound,
-					this.orderedByCost);
+					this.orderedByCost, this.memoryMegabytes);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -80,7 +80,8 @@
 		for (ServedEndpoint endpoint : holding) {
 			EndpointLoads.View view = this.context.loads().view(endpoint);
 			boolean cold = this.context.endpointLimits().isCold(endpoint);
-			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view);
+			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
+					|| !this.context.endpointBodies().hasRoom(endpoint, this.request.body().length);
 			if (!full && this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0) {
 				full = true;
 				heldBackFrom = cold ? endpoint : heldBackFrom;
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -6,6 +6,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -199,6 +200,9 @@
 		if (answer.status() == 200 && type != null && type.startsWith("text/event-stream")) {
 			return relayStream(connection, answer, relay);
 		}
+		if (successful && this.caller.readAheadBytes() < MAXIMUM_ANSWER_BYTES && !relay.isStarted()) {
+			return relayPlain(connection, answer, relay);
+		}
 		byte[] body = readBody(connection);
 		if (!successful && STATUSES_THAT_SUGGEST_NOT_RUN.contains(answer.status())) {
 			return new ExchangeResult.Lost("status " + answer.status() + " without a word that nothing ran",
@@ -226,6 +230,12 @@
 				empty = false;
 			}
 			relay.forward(headers, events);
+			if (this.caller.readAheadBytes() < MAXIMUM_ANSWER_BYTES
+					&& events.stream().anyMatch(StreamEvent::hasField)) {
+				// The time until the caller has taken the event is no silence of the
+				// endpoint.
+				this.limits.recordHead();
+			}
 		}
 		if (splitter.hasPartialEvent()) {
 			throw UpstreamException.disconnected("the stream ended within an event");
@@ -234,7 +244,52 @@
 			throw UpstreamException.disconnected("the stream ended before its first event");
 		}
 		relay.end(headers);
-		return new ExchangeResult.Streamed();
+		return new ExchangeResult.Streamed(answer.status());
+	}
+
+	// An answer that is not read completely ahead of its caller is passed on in parts. It
+	// can then neither be sent again nor be replaced by an error.
+	private ExchangeResult relayPlain(HttpConnection connection, AnswerHead answer, StreamRelay relay)
+			throws IOException {
+		throwIfTooLong(answer.length());
+		List<Header> headers = forwardedHeaders(answer);
+		ByteArrayOutputStream start = new ByteArrayOutputStream();
+		CallerChannel taker = null;
+		byte[] buffer = new byte[BUFFER_BYTES];
+		long total = 0;
+		// The time that the caller takes is not taken from the endpoint.
+		long waitedForCaller = 0;
+		while (true) {
+			int count = connection.read(buffer, this.limits.totalMilliseconds() + waitedForCaller);
+			if (count < 0) {
+				break;
+			}
+			total += count;
+			throwIfTooLong(total);
+			if (taker != null) {
+				long before = this.connections.now();
+				taker.write(Arrays.copyOf(buffer, count));
+				waitedForCaller += this.connections.now() - before;
+				continue;
+			}
+			start.write(buffer, 0, count);
+			if (start.size() + BUFFER_BYTES > this.caller.readAheadBytes()) {
+				taker = relay.beginPlain(answer.status(), headers, answer.length());
+				taker.write(start.toByteArray());
+				start = new ByteArrayOutputStream();
+			}
+		}
+		if (taker == null) {
+			return new ExchangeResult.Answered(answer.status(), headers, start.toByteArray());
+		}
+		taker.end();
+		return new ExchangeResult.Streamed(answer.status());
+	}
+
+	private static void throwIfTooLong(long bytes) throws IOException {
+		if (bytes > MAXIMUM_ANSWER_BYTES) {
+			throw new IOException("an answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
+		}
 	}
 
 	private byte[] readBody(HttpConnection connection) throws IOException {
@@ -246,9 +301,7 @@
 				return body.toByteArray();
 			}
 			body.write(buffer, 0, count);
-			if (body.size() > MAXIMUM_ANSWER_BYTES) {
-				throw new IOException("an answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
-			}
+			throwIfTooLong(body.size());
 		}
 	}
 
@@ -322,8 +375,8 @@
 		void recordPause(long milliseconds);
 
 		/**
-		 * Records that the head of a stream has arrived. Bytes that complete neither a
-		 * head nor an event do not extend a timeout.
+		 * Records that the head of a stream has arrived, or that the caller has taken an
+		 * event. Bytes that complete neither a head nor an event do not extend a timeout.
 		 */
 		void recordHead();
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -142,7 +142,8 @@
 			if (endpoint == null) {
 				return;
 			}
-			if (!this.context.endpointLimits().tryTake(endpoint)) {
+			if (!this.context.endpointLimits().tryTake(endpoint)
+					|| !this.context.endpointBodies().tryBegin(endpoint, this.request.body().length)) {
 				if (this.started) {
 					recordEnd(endpoint);
 				}
@@ -306,6 +307,7 @@
 				.run(this.relay);
 		}
 		finally {
+			this.context.endpointBodies().end(endpoint, this.request.body().length);
 			recordEnd(endpoint);
 		}
 	}
@@ -337,7 +339,7 @@
 				recordServed();
 				this.context.loads().recordAnswer(endpoint, true);
 				this.context.retries().recordExchange(pool(), true);
-				yield finish("served", 200);
+				yield finish("served", streamed.status());
 			}
 			case ExchangeResult.Answered answered -> handleAnswer(endpoint, answered);
 			case ExchangeResult.Unreached unreached -> {
@@ -391,11 +393,8 @@
 				.with("status", notRun.status())
 				.with("lacking", notRun.lacking()));
 		this.avoidedEndpoints.add(endpoint.identifier());
-		boolean mayTryAnother = this.attempts < route().maximumAttempts();
-		if (mayTryAnother && this.context.retries().tryTake(pool())) {
-			return true;
-		}
-		return giveUpAfterFailure(true);
+		return (this.attempts < route().maximumAttempts() && this.context.retries().tryTake(pool()))
+				|| giveUpAfterFailure(true);
 	}
 
 	private boolean handleLoss(ServedEndpoint endpoint, ExchangeResult.Lost lost) {
@@ -440,7 +439,7 @@
 
 	private boolean mayRetry() {
 		return route().execution().isRepeatable() && this.attempts < route().maximumAttempts() && endsBeforeStop()
-				&& (this.harmless || examineRequest() instanceof Finding.Clear);
+				&& this.relay.isResumable() && (this.harmless || examineRequest() instanceof Finding.Clear);
 	}
 
 	private void giveUpWithoutEndpoint(long retryAfter, long readyInMilliseconds) {
