Spread the prompts of busy models over more replicas

Streams paused for longer than allowed because few replicas read all prompts of a busy model: its replicas were counted by requests alone, 6 a second each, whatever the length of their prompts, while most engines read little.

Where the routes of a pool state an allowed pause, daemons now report the prompt tokens per second of each model beside its request rate. The planner weighs requests by the length of their prompts and spreads a model so that the prompts which arrive within an allowed pause can be read in that time in 99 of 100 pauses, over at most twice the replicas that its request rate needs. These replicas come only from copies on disk or in memory, on one engine in eight at a time, in place of spare replicas and of models that have been idle for 4 s. They are kept down to 0.6 of the rate that they were loaded for, so that they do not come and go with demand that swings within 13 s. Without a stated pause the decision is as before. The reason for a load and the candidate load become classes of their own.

--- a/kernel/src/main/java/org/masticshelf/kernel/residency/EngineCapacity.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/EngineCapacity.java
@@ -33,6 +33,19 @@
 	 */
 	static final double BUSY_MODEL_REQUESTS_PER_SECOND = 1;
 
+	/**
+	 * Replicas per replica that the request rate needs, up to which prompts are spread
+	 * over further ones. Bounds the memory that they take from rare models.
+	 */
+	static final int MAXIMUM_SPREAD = 2;
+
+	/**
+	 * The share of the rate that a replica was loaded for down to which it is kept, if
+	 * prompts are spread. Demand that swings by half of its mean within 13 s swings by a
+	 * quarter in the smoothed rates, whose lowest value is 0.6 of the highest.
+	 */
+	static final double RELEASE_SHARE = 0.6;
+
 	private static final double SPARE_REPLICA_VALUE_FACTOR = 0.01;
 
 	private final ResidencyInput input;
@@ -41,10 +54,18 @@
 
 	private final Set<String> awaitedModels;
 
+	private final double meanPromptTokens;
+
+	private final double replicaWork;
+
 	EngineCapacity(ResidencyInput input, Map<String, Integer> replicas, Set<String> awaitedModels) {
 		this.input = input;
 		this.replicas = replicas;
 		this.awaitedModels = awaitedModels;
+		this.meanPromptTokens = input.promptReading().meanTokens(input.requestsPerSecond());
+		this.replicaWork = (this.meanPromptTokens > 0)
+				? Math.min(REPLICA_REQUESTS_PER_SECOND, input.promptReading().requestsPerSecond(this.meanPromptTokens))
+				: REPLICA_REQUESTS_PER_SECOND;
 	}
 
 	/**
@@ -65,18 +86,67 @@
 		return requestsPerSecond(model) >= BUSY_MODEL_REQUESTS_PER_SECOND;
 	}
 
+	/**
+	 * Returns the recent load of a model: its requests, weighted by the length of their
+	 * prompts relative to the pool's mean where that makes them more.
+	 * @param model the name of the model
+	 * @return requests per second, at least the request rate
+	 */
+	double loadPerSecond(String model) {
+		return Math.max(requestsPerSecond(model), workPerSecond(model));
+	}
+
+	private double workPerSecond(String model) {
+		Double tokens = this.input.promptReading().tokensPerSecond().get(model);
+		return (tokens != null && this.meanPromptTokens > 0) ? tokens / this.meanPromptTokens
+				: requestsPerSecond(model);
+	}
+
 	/**
 	 * Returns how many replicas a model needs for its request rate.
 	 * @param model the name of the model
 	 * @return the number of replicas, 0 for a model without requests
 	 */
 	int targetReplicas(String model) {
-		double rate = requestsPerSecond(model);
+		return targetReplicas(requestsPerSecond(model));
+	}
+
+	private int targetReplicas(double rate) {
 		int needed = (int) Math.ceil(rate / REPLICA_REQUESTS_PER_SECOND);
 		int withSpare = (rate >= SPARE_REPLICA_REQUESTS_PER_SECOND) ? Math.max(2, needed) : needed;
 		return Math.min(withSpare, maximumReplicas());
 	}
 
+	/**
+	 * Returns over how many replicas the prompts for a model should be spread so that
+	 * streams pause no longer than allowed.
+	 * @param model the name of the model
+	 * @return the number of replicas, at least those that it needs
+	 */
+	int spreadReplicas(String model) {
+		return spreadReplicas(model, 1);
+	}
+
+	private int spreadReplicas(String model, double scale) {
+		if (this.meanPromptTokens == 0) {
+			return targetReplicas(model);
+		}
+		double rate = scale * requestsPerSecond(model);
+		int target = targetReplicas(rate);
+		int spread = (rate >= SPARE_REPLICA_REQUESTS_PER_SECOND)
+				? (int) Math.ceil(scale * workPerSecond(model) / this.replicaWork) : 0;
+		return Math.min(Math.max(target, spread), Math.min(MAXIMUM_SPREAD * target, maximumReplicas()));
+	}
+
+	/**
+	 * Returns whether a model has more replicas than are kept for it.
+	 * @param model the name of the model
+	 * @return whether one of them is spare
+	 */
+	boolean hasSpareReplica(String model) {
+		return this.replicas.getOrDefault(model, 1) > Math.max(1, spreadReplicas(model, 1 / RELEASE_SHARE));
+	}
+
 	/**
 	 * Returns how many replicas a model may have at most.
 	 * @return half of the engines, rounded up
@@ -130,7 +200,7 @@
 	 */
 	private double retentionValue(EngineSnapshot engine, String model, EngineSnapshot.LoadedModel replica) {
 		int count = this.replicas.getOrDefault(model, 1);
-		boolean spare = count > Math.max(1, targetReplicas(model));
+		boolean spare = hasSpareReplica(model);
 		if (replica.running() > 0 || (this.awaitedModels.contains(model) && !spare)) {
 			return Double.MAX_VALUE;
 		}
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ReplicaDemand.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ReplicaDemand.java
@@ -100,6 +100,14 @@
 		return byRate((model) -> this.replicas.getOrDefault(model, 0) < this.capacity.targetReplicas(model));
 	}
 
+	/**
+	 * Returns the models whose prompts should be spread over further replicas.
+	 * @return the names of the models, the one with the highest request rate at the head
+	 */
+	List<String> modelsToSpread() {
+		return byRate((model) -> this.replicas.getOrDefault(model, 0) < this.capacity.spreadReplicas(model));
+	}
+
 	/**
 	 * Returns the busy models of which only one engine has a copy. Engines that have not
 	 * been read yet may have further ones, so there are none until all are known.
@@ -138,12 +146,12 @@
 	}
 
 	private double excessRequestsPerSecond(String model) {
-		return this.capacity.requestsPerSecond(model)
+		return this.capacity.loadPerSecond(model)
 				- STORE_LOAD_REQUESTS_PER_SECOND * this.replicas.getOrDefault(model, 1);
 	}
 
 	private boolean isOverloaded(String model) {
-		double rate = this.capacity.requestsPerSecond(model);
+		double rate = this.capacity.loadPerSecond(model);
 		int count = this.replicas.getOrDefault(model, 0);
 		return count < this.capacity.maximumReplicas() && rate >= EngineCapacity.SPARE_REPLICA_REQUESTS_PER_SECOND
 				&& (rate / count >= OVERLOADED_REQUESTS_PER_SECOND
--- a/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/residency/ResidencyPlanner.java
@@ -58,6 +58,18 @@
 	/** One engine in this many may load a model that no request has asked for. */
 	static final int ENGINES_PER_PREFETCH = 8;
 
+	/**
+	 * One engine in this many may load a model only to spread its prompts, and as many
+	 * rare models may wait for an engine meanwhile.
+	 */
+	static final int ENGINES_PER_SPREADING = 8;
+
+	/**
+	 * The idle time from which a model may be unloaded to spread the prompts of another:
+	 * the time over which request rates are smoothed.
+	 */
+	static final long SPREADING_IDLE_MILLISECONDS = 4_000;
+
 	private static final long UNLOAD_MILLISECONDS = 100;
 
 	private final ResidencyInput input;
@@ -140,13 +152,14 @@
 		ResidencyPlanner planner = new ResidencyPlanner(input);
 		new AdapterPlanner(input, planner.capacity, planner.assignedEngines).planSteps(planner.steps, planner.readyIn);
 		planner.replicaDemand.overloadedModels()
-			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.OVERLOADED));
+			.forEach((model) -> planner.planLoad(planner.profile(model), LoadReason.OVERLOADED));
 		planner.planUnprotectedModels(planner.storeOrder::isReplicaNext);
 		planner.planMissingModels();
 		planner.estimateAdapterReadiness();
 		planner.replicaDemand.modelsLackingReplicas()
-			.forEach((model) -> planner.planLoad(planner.profile(model), Reason.BUSY));
+			.forEach((model) -> planner.planLoad(planner.profile(model), LoadReason.BUSY));
 		planner.planUnprotectedModels((model) -> planner.storeLoads < input.maximumStoreLoads());
+		planner.planSpreading();
 		planner.planPrefetches();
 		return new ResidencyPlan(planner.steps, planner.readyIn);
 	}
@@ -154,7 +167,7 @@
 	private void planUnprotectedModels(Predicate<String> storeHasRoom) {
 		this.replicaDemand.unprotectedModels().forEach((model) -> {
 			if (storeHasRoom.test(model)) {
-				planLoad(profile(model), Reason.UNPROTECTED);
+				planLoad(profile(model), LoadReason.UNPROTECTED);
 			}
 		});
 	}
@@ -162,7 +175,31 @@
 	private void planMissingModels() {
 		for (MissingModels.Missing missing : this.missing) {
 			boolean expected = this.awaitedModels.contains(missing.model()) || this.capacity.isBusy(missing.model());
-			planLoad(profile(missing.model()), expected ? Reason.WAITED_FOR : Reason.REFUSED);
+			planLoad(profile(missing.model()), expected ? LoadReason.WAITED_FOR : LoadReason.REFUSED);
+		}
+	}
+
+	// Loads for spreading leave most engines to rare models, and begin only while few of
+	// those wait for an engine.
+	private void planSpreading() {
+		int maximum = Math.max(1, this.input.engines().size() / ENGINES_PER_SPREADING);
+		Set<String> begun = new HashSet<>();
+		this.steps.forEach((step) -> begun.add(step.loadable().model()));
+		long unplanned = this.missing.stream()
+			.filter((missing) -> missing.demand().count() > 0 && this.enginesWithCopy.containsKey(missing.model())
+					&& !begun.contains(missing.model()))
+			.count();
+		long loads = this.input.engines()
+			.stream()
+			.filter((engine) -> this.replicas.getOrDefault(engine.loading(), 0) > 1)
+			.count();
+		for (String model : this.replicaDemand.modelsToSpread()) {
+			if (unplanned >= maximum || loads >= maximum) {
+				return;
+			}
+			int before = this.steps.size();
+			planLoad(profile(model), LoadReason.SPREAD);
+			loads += this.steps.size() - before;
 		}
 	}
 
@@ -198,7 +235,7 @@
 			if (this.storeLoads >= Math.min(maximum, this.input.maximumStoreLoads())) {
 				return;
 			}
-			planLoad(profile, Reason.ANTICIPATED);
+			planLoad(profile, LoadReason.ANTICIPATED);
 		}
 	}
 
@@ -214,7 +251,7 @@
 		this.enginesWithCopy.computeIfAbsent(model, (key) -> new ArrayList<>()).add(engine);
 	}
 
-	private void planLoad(ModelProfile profile, Reason reason) {
+	private void planLoad(ModelProfile profile, LoadReason reason) {
 		List<EngineSnapshot> withCopy = this.enginesWithCopy.getOrDefault(profile.name(), List.of());
 		if (reason.isForMissingModel() && withCopy.isEmpty() && this.storeLoads >= this.input.maximumStoreLoads()) {
 			awaitStore(profile, reason);
@@ -225,11 +262,11 @@
 		// loaded elsewhere.
 		boolean onlyWithCopy = reason.isForMissingModel() && !withCopy.isEmpty();
 		List<EngineSnapshot> engines = onlyWithCopy ? withCopy : this.input.engines();
-		Candidate best = null;
+		LoadCandidate best = null;
 		for (EngineSnapshot engine : engines) {
 			boolean eligible = !engine.holdsOrLoads(profile.name())
-					&& (reason == Reason.WAITED_FOR || reason == Reason.OVERLOADED || isFree(engine));
-			Candidate candidate = eligible ? candidate(engine, profile, reason) : null;
+					&& (reason == LoadReason.WAITED_FOR || reason == LoadReason.OVERLOADED || isFree(engine));
+			LoadCandidate candidate = eligible ? candidate(engine, profile, reason) : null;
 			if (candidate != null && (best == null || candidate.isPreferredTo(best))) {
 				best = candidate;
 			}
@@ -237,28 +274,28 @@
 		if (best == null) {
 			return;
 		}
-		boolean fromStore = best.source == ResidencyStep.Source.STORE;
-		if (reason == Reason.WAITED_FOR) {
-			this.readyIn.merge(profile.name(), best.readyIn, Math::min);
+		boolean fromStore = best.source() == ResidencyStep.Source.STORE;
+		if (reason == LoadReason.WAITED_FOR) {
+			this.readyIn.merge(profile.name(), best.readyIn(), Math::min);
 		}
 		if (fromStore && this.storeLoads >= this.input.maximumStoreLoads()) {
 			this.nextStoreLoadMilliseconds += profile.storeMilliseconds() / this.input.maximumStoreLoads();
 			return;
 		}
-		boolean startsNow = isFree(best.engine);
-		this.assignedEngines.add(best.engine.identifier());
-		this.freeInMilliseconds.put(best.engine.identifier(), best.readyIn);
+		boolean startsNow = isFree(best.engine());
+		this.assignedEngines.add(best.engine().identifier());
+		this.freeInMilliseconds.put(best.engine().identifier(), best.readyIn());
 		this.replicas.merge(profile.name(), 1, Integer::sum);
 		this.storeLoads += fromStore ? 1 : 0;
 		if (startsNow) {
-			best.victims.forEach((victim) -> this.replicas.merge(victim, -1, Integer::sum));
-			this.steps.add(new ResidencyStep.Load(best.engine.identifier(), LoadableName.ofModel(profile.name()),
-					best.source, loadMilliseconds(profile, best.source), best.victims));
+			best.victims().forEach((victim) -> this.replicas.merge(victim, -1, Integer::sum));
+			this.steps.add(new ResidencyStep.Load(best.engine().identifier(), LoadableName.ofModel(profile.name()),
+					best.source(), loadMilliseconds(profile, best.source()), best.victims()));
 		}
 	}
 
-	private void awaitStore(ModelProfile profile, Reason reason) {
-		if (reason == Reason.WAITED_FOR) {
+	private void awaitStore(ModelProfile profile, LoadReason reason) {
+		if (reason == LoadReason.WAITED_FOR) {
 			this.readyIn.merge(profile.name(), this.nextStoreLoadMilliseconds + profile.storeMilliseconds(), Math::min);
 		}
 		this.nextStoreLoadMilliseconds += profile.storeMilliseconds() / this.input.maximumStoreLoads();
@@ -268,7 +305,7 @@
 		return engine.freeInMilliseconds() == 0 && !this.assignedEngines.contains(engine.identifier());
 	}
 
-	private @Nullable Candidate candidate(EngineSnapshot engine, ModelProfile profile, Reason reason) {
+	private @Nullable LoadCandidate candidate(EngineSnapshot engine, ModelProfile profile, LoadReason reason) {
 		ResidencyStep.Source source = sourceOf(engine, profile.name());
 		if (reason.isForReplica() && source == ResidencyStep.Source.STORE
 				&& !isWorthStoreLoad(profile.name(), reason)) {
@@ -290,15 +327,16 @@
 		readyIn += eviction.models().isEmpty() ? 0 : UNLOAD_MILLISECONDS;
 		long domainPenalty = (reason.isForReplica() && hasReplicaIn(engine.failureDomain(), profile.name()))
 				? SAME_DOMAIN_PENALTY_MILLISECONDS : 0;
-		return new Candidate(engine, source, eviction.models(), eviction.loss(), readyIn,
+		return new LoadCandidate(engine, source, eviction.models(), eviction.loss(), readyIn,
 				readyIn + adapterPenalty + domainPenalty);
 	}
 
 	// A replica that does not come before the missing models takes what they have left.
-	private boolean isWorthStoreLoad(String model, Reason reason) {
+	private boolean isWorthStoreLoad(String model, LoadReason reason) {
 		return switch (reason) {
 			case OVERLOADED -> this.storeOrder.isReplicaNext(model);
 			case BUSY -> this.replicaDemand.isBeyondReplicas(model);
+			case SPREAD -> false;
 			case UNPROTECTED, WAITED_FOR, REFUSED, ANTICIPATED -> true;
 		};
 	}
@@ -309,11 +347,16 @@
 			.anyMatch((engine) -> engine.failureDomain().equals(failureDomain) && engine.holdsOrLoads(model));
 	}
 
-	private boolean isEvictable(EngineSnapshot engine, String victim, ModelProfile profile, Reason reason) {
-		if (reason == Reason.ANTICIPATED) {
+	private boolean isEvictable(EngineSnapshot engine, String victim, ModelProfile profile, LoadReason reason) {
+		if (reason == LoadReason.ANTICIPATED) {
 			return isExpectedToBeRare(victim) && sourceOf(engine, victim) != ResidencyStep.Source.STORE;
 		}
-		boolean mayReplaceBusyModel = reason != Reason.UNPROTECTED && this.capacity.isBusy(profile.name());
+		if (reason == LoadReason.SPREAD) {
+			EngineSnapshot.LoadedModel replica = engine.loaded().get(victim);
+			return this.capacity.hasSpareReplica(victim) || (replica != null && !this.capacity.isBusy(victim)
+					&& replica.idleMilliseconds() >= SPREADING_IDLE_MILLISECONDS);
+		}
+		boolean mayReplaceBusyModel = reason != LoadReason.UNPROTECTED && this.capacity.isBusy(profile.name());
 		return !this.capacity.isBusy(victim) || mayReplaceBusyModel || this.replicas.getOrDefault(victim, 1) > 1;
 	}
 
@@ -324,10 +367,10 @@
 				&& this.replicas.values().stream().anyMatch((count) -> count > 1);
 	}
 
-	private double maximumLoss(ModelProfile profile, Reason reason) {
+	private double maximumLoss(ModelProfile profile, LoadReason reason) {
 		return switch (reason) {
 			case WAITED_FOR, REFUSED, ANTICIPATED -> Double.MAX_VALUE;
-			case BUSY, OVERLOADED, UNPROTECTED ->
+			case BUSY, OVERLOADED, UNPROTECTED, SPREAD ->
 				this.capacity.requestsPerSecond(profile.name()) / (this.replicas.getOrDefault(profile.name(), 0) + 1);
 		};
 	}
@@ -358,60 +401,4 @@
 		};
 	}
 
-	/** The reason for loading a model. */
-	private enum Reason {
-
-		/** Requests wait for it. */
-		WAITED_FOR,
-
-		/** Requests for it were refused, and none waits now. */
-		REFUSED,
-
-		/** Its replicas refuse requests, or are about to. */
-		OVERLOADED,
-
-		/** Its replicas cannot keep up with its request rate. */
-		BUSY,
-
-		/** It is busy, and only one engine has a copy of it. */
-		UNPROTECTED,
-
-		/** It may be requested, and there is no other work. */
-		ANTICIPATED;
-
-		private boolean isForMissingModel() {
-			return this == WAITED_FOR || this == REFUSED;
-		}
-
-		private boolean isForReplica() {
-			return this == BUSY || this == OVERLOADED || this == UNPROTECTED;
-		}
-
-	}
-
-	/**
-	 * A candidate load of a model on an engine.
-	 *
-	 * @param engine the engine
-	 * @param source where the weights are loaded from
-	 * @param victims the models to unload first
-	 * @param loss the value of keeping the victims loaded
-	 * @param readyIn time until the model would be ready, in milliseconds
-	 * @param charge the time until ready plus penalties for blocking adapter requests and
-	 * for sharing a failure domain with another replica
-	 */
-	private record Candidate(EngineSnapshot engine, ResidencyStep.Source source, List<String> victims, double loss,
-			long readyIn, long charge) {
-
-		private static final long TIE_MILLISECONDS = 300;
-
-		private boolean isPreferredTo(Candidate other) {
-			if (Math.abs(this.charge - other.charge) > TIE_MILLISECONDS) {
-				return this.charge < other.charge;
-			}
-			return this.loss < other.loss;
-		}
-
-	}
-
 }
--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedTables.java
@@ -22,6 +22,8 @@
 
 	private final Map<String, List<ServedRoute>> routesByHost = new HashMap<>();
 
+	private final Map<String, Long> allowedPauses = new HashMap<>();
+
 	private final Map<String, ServedPool> pools;
 
 	private final Map<String, ServedOrganisation> organisations;
@@ -48,11 +50,26 @@
 		this.limits = limits;
 		for (ServedRoute route : routes) {
 			this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+			if (route.gapObjectiveMilliseconds() > 0) {
+				route.targets()
+					.forEach((target) -> this.allowedPauses.merge(target.pool(), route.gapObjectiveMilliseconds(),
+							Math::min));
+			}
 		}
 		this.routesByHost.values()
 			.forEach((list) -> list.sort(Comparator.comparingInt((route) -> -route.prefix().length())));
 	}
 
+	/**
+	 * Returns the longest pause between two events of a stream that every route of a pool
+	 * allows.
+	 * @param pool the name of the pool
+	 * @return the pause in milliseconds, 0 if no route of the pool states one
+	 */
+	public long allowedPauseMilliseconds(String pool) {
+		return this.allowedPauses.getOrDefault(pool, 0L);
+	}
+
 	/**
 	 * Returns the version of the tables.
 	 * @return the version, higher for later tables
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -118,7 +118,7 @@
 	 * @return the demand
 	 */
 	Placement.Demand demand() {
-		Map<String, Double> allRates = new HashMap<>(this.components.rates().requestsPerSecond());
+		Map<String, Double> allRates = new HashMap<>(this.components.rates().requestsAndTokensPerSecond());
 		List<PeerMessage.Waiting> waiting = new ArrayList<>(this.components.waitingRequests().summary());
 		List<PeerMessage.Unserved> unserved = new ArrayList<>(this.components.unserved().summary());
 		Map<String, Map<String, Integer>> running = this.components.peers().runningRequests();
@@ -226,8 +226,8 @@
 				List.of(), null, this.components.limits().reports(), null);
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
-						this.components.rates().requestsPerSecond(), this.components.unserved().summary(), decided,
-						recentMessages, this.components.quarantine().evidence(), evidencePeers));
+						this.components.rates().requestsAndTokensPerSecond(), this.components.unserved().summary(),
+						decided, recentMessages, this.components.quarantine().evidence(), evidencePeers));
 	}
 
 	private boolean hasSharedFindings() {
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -18,6 +18,7 @@
 import org.masticshelf.control.duty.Duty;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.residency.EngineSnapshot;
+import org.masticshelf.kernel.residency.PromptReading;
 import org.masticshelf.kernel.residency.ResidencyInput;
 import org.masticshelf.kernel.residency.ResidencyPlan;
 import org.masticshelf.kernel.residency.ResidencyPlanner;
@@ -34,6 +35,7 @@
 import org.masticshelf.serving.endpoint.EndpointDirectory;
 import org.masticshelf.serving.peer.PeerMessage;
 import org.masticshelf.serving.peer.PeerRegistry;
+import org.masticshelf.serving.peer.RateKeys;
 import org.masticshelf.serving.placement.EngineOrders.EngineReport;
 
 /**
@@ -230,7 +232,8 @@
 			Demand demand = this.demand.get();
 			for (ServedPool pool : currentTables.pools().values()) {
 				if (pool.engine() != null) {
-					planPool(pool.name(), pool.engine(), demand, tenure, now, actions);
+					planPool(pool.name(), pool.engine(), demand, tenure, now, actions,
+							currentTables.allowedPauseMilliseconds(pool.name()));
 				}
 			}
 			changed = !previous.keySet().equals(this.readyIn.keySet());
@@ -352,7 +355,7 @@
 	}
 
 	private void planPool(String pool, EngineProfile profile, Demand demand, Duty.Tenure tenure, long now,
-			List<Runnable> actions) {
+			List<Runnable> actions, long allowedPause) {
 		List<EngineSnapshot> usable = new ArrayList<>();
 		List<EngineSnapshot> snapshots = new ArrayList<>();
 		boolean complete = now - this.newEngineAt > LIST_COMPLETE_MILLISECONDS;
@@ -381,7 +384,8 @@
 			.observe(new StarvationMonitor.Observation(pool, snapshots, profile.models().keySet(), unserved, complete));
 		ResidencyPlan plan = ResidencyPlanner.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool),
 				unserved, demand.rates(pool), this.fetched, complete, storeLoads,
-				this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0));
+				this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0,
+				new PromptReading(RateKeys.selectPromptTokens(demand.rates(), pool), allowedPause)));
 		plan.readyInMilliseconds()
 			.forEach((model, readyInMilliseconds) -> this.readyIn.put(PeerRegistry.estimateKey(pool, model),
 					readyInMilliseconds));
@@ -479,7 +483,7 @@
 	 *
 	 * @param waiting the models and adapters that requests wait for
 	 * @param unserved the models and adapters that could not be served
-	 * @param rates requests per second by pool and model
+	 * @param rates requests and prompt tokens per second by key
 	 * @param running the number of running requests by endpoint and model or adapter
 	 */
 	public record Demand(List<PeerMessage.Waiting> waiting, List<PeerMessage.Unserved> unserved,
@@ -509,14 +513,7 @@
 		}
 
 		private Map<String, Double> rates(String pool) {
-			Map<String, Double> ofPool = new HashMap<>();
-			String prefix = pool + "/";
-			this.rates.forEach((key, rate) -> {
-				if (key.startsWith(prefix)) {
-					ofPool.put(key.substring(prefix.length()), rate);
-				}
-			});
-			return ofPool;
+			return RateKeys.selectRequests(this.rates, pool);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -108,7 +108,9 @@
 		}
 		LoadableName loadable = (pool.engine() != null) ? this.request.loadable() : null;
 		if (loadable != null) {
-			this.context.rates().recordRequest(pool.name(), loadable.model());
+			boolean pauseStated = tables.allowedPauseMilliseconds(pool.name()) > 0;
+			this.context.rates()
+				.recordRequest(pool.name(), loadable.model(), pauseStated ? this.request.promptTokens() : 0);
 		}
 		this.context.retries().recordRequest(pool.name());
 		this.context.log()
