Choose among endpoints by the prompts that they have yet to read

Cause: the choice compared endpoints by the number of requests, which does not show several long prompts that one engine reads at once and that delay all of its streams. An engine whose streams would pause longer than allowed is avoided if another is not affected; a shared part of a prompt that was read there saves its tokens.

--- a/kernel/src/main/java/org/masticshelf/kernel/routing/EndpointSelection.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/routing/EndpointSelection.java
@@ -65,14 +65,24 @@
 				+ candidate.penalty();
 	}
 
-	private static long rendezvousWeight(Candidate candidate, String sharedPrompt) {
-		long hash = 0xcbf29ce484222325L;
-		String text = sharedPrompt + "|" + candidate.identifier();
+	/**
+	 * Returns the rank of an endpoint for a shared prompt, equal at all daemons.
+	 * @param candidate the endpoint
+	 * @param sharedPrompt identifies the shared part of the prompt
+	 * @return a number, the highest for the endpoint that the prompt hashes to
+	 */
+	static long rendezvousWeight(Candidate candidate, String sharedPrompt) {
+		long hash = hash(hash(hash(0xcbf29ce484222325L, sharedPrompt), "|"), candidate.identifier());
+		hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+		return (hash ^ (hash >>> 33)) >>> 1;
+	}
+
+	private static long hash(long start, String text) {
+		long hash = start;
 		for (int index = 0; index < text.length(); index++) {
 			hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
 		}
-		hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-		return (hash ^ (hash >>> 33)) >>> 1;
+		return hash;
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -17,6 +17,7 @@
 import org.masticshelf.control.duty.Duty;
 import org.masticshelf.control.membership.Members;
 import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.routing.PromptWork;
 import org.masticshelf.kernel.serving.ServedEndpoint.Holdings;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
@@ -196,6 +197,8 @@
 			this.components.limits().setPeers(addresses.keySet());
 		}
 		this.components.loads().setPeerRequests(this.components.peers().runningRequests());
+		this.components.loads()
+			.setPeerBacklog(this.components.peers().backlog(PromptWork.TYPICAL_TOKENS_PER_MILLISECOND));
 		boolean full = all
 				&& this.clock.milliseconds() - this.fullPlacementSentAt >= FULL_PLACEMENT_INTERVAL_MILLISECONDS;
 		this.fullPlacementSentAt = full ? this.clock.milliseconds() : this.fullPlacementSentAt;
@@ -223,7 +226,7 @@
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(),
-				List.of(), null, this.components.limits().reports(), null);
+				List.of(), null, this.components.limits().reports(), null, this.components.loads().backlog(), Map.of());
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
 						this.components.rates().requestsPerSecond(), this.components.unserved().summary(), decided,
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
@@ -47,10 +47,16 @@
 
 	private final MonotonicClock clock;
 
+	private final ReadPrompts readPrompts;
+
 	private final Map<String, Load> loads = new HashMap<>();
 
 	private Map<String, Map<String, Integer>> peerRequests = Map.of();
 
+	private Map<String, Long> peerBacklog = Map.of();
+
+	private long peerBacklogAt;
+
 	private Set<String> silentDomains = Set.of();
 
 	/**
@@ -59,6 +65,15 @@
 	 */
 	public EndpointLoads(MonotonicClock clock) {
 		this.clock = clock;
+		this.readPrompts = new ReadPrompts(clock);
+	}
+
+	/**
+	 * Returns what endpoints have read for this daemon.
+	 * @return the shared parts of prompts
+	 */
+	public ReadPrompts readPrompts() {
+		return this.readPrompts;
 	}
 
 	/**
@@ -88,6 +103,53 @@
 		load.running.computeIfPresent(name, (key, count) -> (count > 1) ? Integer.valueOf(count - 1) : null);
 	}
 
+	/**
+	 * Records that the backlog of prompt tokens has changed: by the tokens of a request
+	 * that was sent, or by those of one that had its first event or ended without any.
+	 * @param endpoint the endpoint
+	 * @param tokens the prompt tokens, negative if they are read
+	 */
+	public synchronized void changeBacklog(ServedEndpoint endpoint, long tokens) {
+		this.loads.computeIfAbsent(endpoint.identifier(), (key) -> new Load()).backlogTokens += tokens;
+	}
+
+	/**
+	 * Sets the prompt tokens that endpoints have yet to read for the peers.
+	 * @param backlog the tokens by endpoint
+	 */
+	public synchronized void setPeerBacklog(Map<String, Long> backlog) {
+		this.peerBacklog = Map.copyOf(backlog);
+		this.peerBacklogAt = this.clock.milliseconds();
+	}
+
+	/**
+	 * Returns the prompt tokens of this daemon's requests without a first event.
+	 * @return the tokens by endpoint, only positive ones
+	 */
+	public synchronized Map<String, Long> backlog() {
+		Map<String, Long> backlog = new HashMap<>();
+		this.loads.forEach((identifier, load) -> {
+			if (load.backlogTokens > 0) {
+				backlog.put(identifier, load.backlogTokens);
+			}
+		});
+		return backlog;
+	}
+
+	/**
+	 * Returns the prompt tokens that an endpoint has yet to read for all daemons.
+	 * @param endpoint the endpoint
+	 * @param tokensPerMillisecond the tokens that it reads in a millisecond, by which
+	 * what the peers told becomes less as it ages
+	 * @return the tokens
+	 */
+	public synchronized long backlogTokens(ServedEndpoint endpoint, double tokensPerMillisecond) {
+		Load load = this.loads.get(endpoint.identifier());
+		double told = this.peerBacklog.getOrDefault(endpoint.identifier(), 0L)
+				- (this.clock.milliseconds() - this.peerBacklogAt) * tokensPerMillisecond;
+		return ((load != null) ? load.backlogTokens : 0) + (long) Math.max(0, told);
+	}
+
 	/**
 	 * Records an answer.
 	 * @param endpoint the endpoint
@@ -259,6 +321,8 @@
 
 		private long tokens;
 
+		private long backlogTokens;
+
 		private int consecutiveFailures;
 
 		private int consecutiveTimeouts;
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
@@ -59,7 +59,8 @@
 		return Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 				this.common.spent(), this.common.running(), toPlacingPeer ? this.details.waiting() : List.of(),
 				toPlacingPeer ? this.details.rates() : Map.of(), toPlacingPeer ? this.details.unserved() : List.of(),
-				(decided != null) ? decided.withEstimates(estimates) : null, this.common.limits(), evidence));
+				(decided != null) ? decided.withEstimates(estimates) : null, this.common.limits(), evidence,
+				this.common.backlog(), this.common.paces()));
 	}
 
 	private byte[] commonBytes() {
@@ -68,7 +69,8 @@
 			PeerMessage.Placement decided = this.details.decided();
 			bytes = Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 					this.common.spent(), this.common.running(), List.of(), Map.of(), List.of(),
-					(decided != null) ? decided.withEstimates(Map.of()) : null, this.common.limits(), null));
+					(decided != null) ? decided.withEstimates(Map.of()) : null, this.common.limits(), null,
+					this.common.backlog(), this.common.paces()));
 			this.commonBytes = bytes;
 		}
 		return bytes;
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -26,13 +26,17 @@
  * @param limits the limits that endpoints state, by run of the endpoint
  * @param crashEvidence what it knows about requests that crash endpoints; sent to a few
  * peers at a time
+ * @param backlog the prompt tokens of its requests without a first event by endpoint,
+ * only positive ones
+ * @param paces what it learned of the time that endpoints take, in hundredths of that of
+ * their pool's median
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
 		List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
-		@Nullable CrashEvidence crashEvidence) {
+		@Nullable CrashEvidence crashEvidence, Map<String, Long> backlog, Map<String, Integer> paces) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -42,6 +46,30 @@
 		rates = orEmpty(rates);
 		unserved = (unserved != null) ? List.copyOf(unserved) : List.of();
 		limits = orEmpty(limits);
+		backlog = orEmpty(backlog);
+		paces = orEmpty(paces);
+	}
+
+	/**
+	 * Creates a message of a daemon that knows no backlog and no paces.
+	 * @param incarnation the daemon's incarnation
+	 * @param address the IP address and port on which it listens for peers
+	 * @param number the sequence number
+	 * @param spent the tokens spent for each organisation
+	 * @param running the number of running requests by endpoint and model or adapter
+	 * @param waiting what its requests wait for
+	 * @param rates its recent requests per second for each model
+	 * @param unserved the models and adapters that it could not serve
+	 * @param placement the placement, {@code null} for none
+	 * @param limits the limits that endpoints state, by run of the endpoint
+	 * @param crashEvidence what it knows about crashes, {@code null} for nothing
+	 */
+	public PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
+			Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
+			List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
+			@Nullable CrashEvidence crashEvidence) {
+		this(incarnation, address, number, spent, running, waiting, rates, unserved, placement, limits, crashEvidence,
+				Map.of(), Map.of());
 	}
 
 	private static <V> Map<String, V> orEmpty(@Nullable Map<String, V> map) {
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerRegistry.java
@@ -18,6 +18,12 @@
 	/** A peer counts as silent after this time without a message. */
 	public static final long SILENT_MILLISECONDS = 1_500;
 
+	/**
+	 * The most prompt tokens that count for one endpoint and peer, which is ten times
+	 * what an engine's memory holds. A peer that tells more is mistaken.
+	 */
+	private static final long MAXIMUM_BACKLOG_TOKENS = 1_000_000;
+
 	private final MonotonicClock clock;
 
 	private final Map<String, ReceivedMessage> received = new HashMap<>();
@@ -138,6 +144,27 @@
 		return sum;
 	}
 
+	/**
+	 * Sums the prompt tokens that endpoints have yet to read for the peers.
+	 * @param tokensPerMillisecond the tokens that an endpoint reads in a millisecond, by
+	 * which what a peer told becomes less as it ages
+	 * @return the tokens by endpoint
+	 */
+	public synchronized Map<String, Long> backlog(double tokensPerMillisecond) {
+		long now = this.clock.milliseconds();
+		Map<String, Long> sum = new HashMap<>();
+		for (ReceivedMessage entry : this.received.values()) {
+			long age = now - entry.at();
+			entry.message().backlog().forEach((endpoint, tokens) -> {
+				long unread = tokens - (long) (age * tokensPerMillisecond);
+				if (unread > 0 && age <= SILENT_MILLISECONDS) {
+					sum.merge(endpoint, Math.min(unread, MAXIMUM_BACKLOG_TOKENS), Long::sum);
+				}
+			});
+		}
+		return sum;
+	}
+
 	/**
 	 * Returns when the placing daemon expects a model or adapter to be ready.
 	 * @param pool the pool
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -12,6 +12,7 @@
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
+import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 
@@ -37,7 +38,11 @@
 
 	private final @Nullable LoadableName loadable;
 
-	EndpointChooser(RequestContext context, ServedRequest request, String pool, @Nullable EngineProfile engine) {
+	private final ServedRoute route;
+
+	EndpointChooser(RequestContext context, ServedRequest request, ServedRoute route, String pool,
+			@Nullable EngineProfile engine) {
+		this.route = route;
 		this.context = context;
 		this.request = request;
 		this.pool = pool;
@@ -64,8 +69,9 @@
 			candidates.add(new EndpointSelection.Candidate(endpoint.identifier(), view.own() + view.elsewhere(),
 					endpoint.failureDomain().equals(this.context.failureDomain()), full, view.penalty()));
 		}
-		EndpointSelection.Candidate chosen = EndpointSelection.choose(candidates, this.request.sharedPrompt(),
-				ThreadLocalRandom.current().nextInt());
+		EndpointSelection.Candidate chosen = new ExpectedTimes(this.context.loads(), this.request, this.loadable,
+				this.route)
+			.choose(holding, candidates, ThreadLocalRandom.current().nextInt());
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -184,7 +184,7 @@
 					giveUpQuarantined(finding);
 					return null;
 				}
-				EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(),
+				EndpointChooser chooser = new EndpointChooser(this.context, this.request, route(), pool(),
 						admitted().pool().engine());
 				ServedEndpoint endpoint = chooser.choose(this.avoidedEndpoints);
 				if (endpoint != null) {
@@ -284,10 +284,6 @@
 		return (loadable != null) ? this.context.peers().readyIn(pool(), loadable) : -1;
 	}
 
-	private long tokens() {
-		return Math.max(0, this.request.totalTokens());
-	}
-
 	private ExchangeResult send(ServedEndpoint endpoint) {
 		ServedOrganisation payer = admitted().organisation();
 		ServedRoute route = route();
@@ -307,15 +303,16 @@
 		int priority = (payer != null && payer.priority() != null) ? payer.priority() : route.priority();
 		OutboundRequest outbound = new OutboundRequest(this.request, endpoint, (payer != null) ? payer.name() : null,
 				priority, remaining(), this.relay.lastIdentifier());
-		this.context.loads().recordStart(endpoint, loadable(), tokens());
+		ExchangeProgress progress = ExchangeProgress.begin(this.context.loads(), endpoint, this.request, loadable(),
+				route);
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint),
+					new RouteLimits(endpoint, progress), this.caller, chooseConnection(endpoint),
 					this.context.plannedStop())
 				.run(this.relay);
 		}
 		finally {
-			this.context.loads().recordEnd(endpoint, loadable(), tokens());
+			progress.end();
 			this.context.waitingRequests().signal();
 		}
 	}
@@ -574,13 +571,15 @@
 	 */
 	private final class RouteLimits implements EndpointExchange.Limits {
 
-		private long progressAt;
+		private long progressAt = elapsed();
 
 		private final ServedEndpoint endpoint;
 
-		private RouteLimits(ServedEndpoint endpoint, long sentAt) {
+		private final ExchangeProgress progress;
+
+		private RouteLimits(ServedEndpoint endpoint, ExchangeProgress progress) {
 			this.endpoint = endpoint;
-			this.progressAt = sentAt;
+			this.progress = progress;
 		}
 
 		@Override
@@ -609,6 +608,7 @@
 		@Override
 		public void recordEvent() {
 			this.progressAt = elapsed();
+			this.progress.recordEvent();
 			if (Forwarding.this.answeringSince < 0) {
 				Forwarding.this.answeringSince = this.progressAt;
 			}
