Learn the speed of engines and choose by it

Cause: an engine at 0.6 of the normal speed got as many requests as one at 1.6 until it was full. EndpointPace learns the time to read prompts and between events, decaying within seconds; PoolPaces compares the engines of a pool; peers report clear differences in PeerMessage. Once engines are observed to differ, ExpectedTimeSelection weighs the expected time by their pace, counts the pause of streams there as cost, and keeps deferrable requests to slower engines as long as a slow spell stays harmless. An engine that is silent on all awaited streams gets no new requests. New log lines and metrics show both.

The bound up to which a shared prompt stays at its engine is now three quarters of the allowed pause; its test has both sides of the bound instead of one value within it.

--- a/kernel/src/main/java/org/masticshelf/kernel/routing/ExpectedTimeSelection.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/routing/ExpectedTimeSelection.java
@@ -16,7 +16,20 @@
 public final class ExpectedTimeSelection {
 
 	/** The share of the objective within which endpoints count as equally good. */
-	static final double COMFORTABLE_OBJECTIVE_SHARE = 0.5;
+	static final double WELL_WITHIN_OBJECTIVE_SHARE = 0.5;
+
+	/**
+	 * The share of the objective and of the allowed pause up to which deferrable requests
+	 * are kept to slower endpoints. A spell in which an engine takes 2.5 times as long
+	 * then stays within both.
+	 */
+	static final double DEFERRABLE_SHARE = 0.25;
+
+	/**
+	 * The share of the allowed pause up to which the endpoint that a shared prompt hashes
+	 * to is preferred.
+	 */
+	static final double AFFINITY_PAUSE_SHARE = 0.75;
 
 	/** The relative difference up to which expected times count as equal. */
 	static final double NEAR_EQUAL_FACTOR = 1.1;
@@ -57,27 +70,33 @@
 			long unread = work.promptTokens() - ((candidate.hasRead() || index == preferred) ? sharedTokens : 0);
 			boolean full = candidate.candidate().full();
 			costs[index] = full ? Double.POSITIVE_INFINITY : cost(candidate, unread, work, rates);
-			pausing[index] = !full && pausesStreams(candidate, unread, work, rates);
+			pausing[index] = !full && pause(candidate, unread, work, rates) > 1;
 			anyUnaffected |= !full && !pausing[index];
 		}
 		double best = Double.POSITIVE_INFINITY;
-		double slowestComfortable = 0;
+		double slowestDeferrable = 0;
 		for (int index = 0; index < costs.length; index++) {
 			if (pausing[index] && anyUnaffected) {
 				costs[index] = Double.POSITIVE_INFINITY;
 			}
 			best = Math.min(best, costs[index]);
-			if (costs[index] <= COMFORTABLE_OBJECTIVE_SHARE) {
-				slowestComfortable = Math.max(slowestComfortable, candidates.get(index).pace());
+			if (work.isDeferrable() && costs[index] <= DEFERRABLE_SHARE) {
+				slowestDeferrable = Math.max(slowestDeferrable, candidates.get(index).pace());
+			}
+		}
+		double limit = (best <= WELL_WITHIN_OBJECTIVE_SHARE) ? WELL_WITHIN_OBJECTIVE_SHARE : best * NEAR_EQUAL_FACTOR;
+		if (preferred >= 0 && costs[preferred] <= Math.max(limit, AFFINITY_PAUSE_SHARE)) {
+			// A pause that is allowed does not outweigh a second reading elsewhere.
+			TimedCandidate candidate = candidates.get(preferred);
+			if (wait(candidate, work.promptTokens() - sharedTokens, work, rates) + penalty(candidate) <= limit) {
+				return candidate;
 			}
 		}
-		boolean comfortable = best <= COMFORTABLE_OBJECTIVE_SHARE;
-		double limit = comfortable ? COMFORTABLE_OBJECTIVE_SHARE : best * NEAR_EQUAL_FACTOR;
-		if (preferred >= 0 && costs[preferred] <= limit) {
-			return candidates.get(preferred);
+		if (slowestDeferrable > 0) {
+			return chooseOfTwo(candidates, costs, DEFERRABLE_SHARE, Math.min(1, slowestDeferrable) / NEAR_EQUAL_FACTOR,
+					seed);
 		}
-		double minimumPace = (comfortable && work.isDeferrable()) ? slowestComfortable / NEAR_EQUAL_FACTOR : 0;
-		return chooseOfTwo(candidates, costs, limit, minimumPace, seed);
+		return chooseOfTwo(candidates, costs, limit, 0, seed);
 	}
 
 	/**
@@ -138,31 +157,46 @@
 	}
 
 	private static double cost(TimedCandidate candidate, long unreadTokens, PromptWork work, MedianRates rates) {
+		return Math.max(wait(candidate, unreadTokens, work, rates), pause(candidate, unreadTokens, work, rates))
+				+ penalty(candidate);
+	}
+
+	private static double wait(TimedCandidate candidate, long unreadTokens, PromptWork work, MedianRates rates) {
 		double reading = (candidate.backlogTokens() + unreadTokens) * rates.tokenMilliseconds();
-		double step = rates.stepMilliseconds() * candidate.candidate().requests() / candidate.parallel();
-		double milliseconds = (rates.baseMilliseconds() + reading + step) * candidate.pace();
-		double penalty = candidate.candidate().penalty()
+		double step = rates.stepMilliseconds() * candidate.candidate().requests();
+		return (reading + step) * candidate.pace() / work.objectiveMilliseconds();
+	}
+
+	private static double penalty(TimedCandidate candidate) {
+		double requests = candidate.candidate().penalty()
 				+ (candidate.candidate().sameDomain() ? 0 : EndpointSelection.OTHER_DOMAIN_PENALTY_REQUESTS);
-		return milliseconds / work.objectiveMilliseconds() + penalty / PENALTY_REQUESTS_PER_OBJECTIVE;
+		return requests / PENALTY_REQUESTS_PER_OBJECTIVE;
 	}
 
-	private static boolean pausesStreams(TimedCandidate candidate, long unreadTokens, PromptWork work,
-			MedianRates rates) {
+	/**
+	 * Returns how long streams of an endpoint pause while it reads the next chunk, if the
+	 * request is sent there.
+	 * @param candidate the endpoint
+	 * @param unreadTokens the tokens of the request's prompt that it has yet to read
+	 * @param work what the request asks for
+	 * @param rates the time that endpoints of median speed take
+	 * @return the pause in allowed pauses, 0 if no stream runs there
+	 */
+	private static double pause(TimedCandidate candidate, long unreadTokens, PromptWork work, MedianRates rates) {
 		if (work.gapObjectiveMilliseconds() <= 0 || candidate.candidate().requests() <= 0) {
-			return false;
+			return 0;
 		}
 		double chunk = Math.min(MAXIMUM_CHUNK_TOKENS, candidate.backlogTokens() + unreadTokens);
-		return chunk * rates.tokenMilliseconds() * candidate.pace() > work.gapObjectiveMilliseconds();
+		return chunk * rates.tokenMilliseconds() * candidate.pace() / work.gapObjectiveMilliseconds();
 	}
 
 	/**
 	 * The time that endpoints of a pool take at its median speed. Immutable.
 	 *
-	 * @param baseMilliseconds the time for each request apart from its tokens
 	 * @param tokenMilliseconds the time to read a token of a prompt
 	 * @param stepMilliseconds the time that each running request adds
 	 */
-	public record MedianRates(double baseMilliseconds, double tokenMilliseconds, double stepMilliseconds) {
+	public record MedianRates(double tokenMilliseconds, double stepMilliseconds) {
 	}
 
 	/**
@@ -171,11 +205,9 @@
 	 * @param candidate the endpoint and its load
 	 * @param backlogTokens the prompt tokens that it has yet to read for all daemons
 	 * @param pace the ratio of the time that it takes to that of the pool's median
-	 * @param parallel the requests that share the time for a running request, 1 for
-	 * engines
 	 * @param hasRead whether it is known to have read the shared part of the prompt
 	 */
-	public record TimedCandidate(EndpointSelection.Candidate candidate, long backlogTokens, double pace, int parallel,
+	public record TimedCandidate(EndpointSelection.Candidate candidate, long backlogTokens, double pace,
 			boolean hasRead) {
 	}
 
--- a/kernel/src/test/java/org/masticshelf/kernel/routing/ExpectedTimeSelectionTests.java
+++ b/kernel/src/test/java/org/masticshelf/kernel/routing/ExpectedTimeSelectionTests.java
@@ -21,10 +21,10 @@
  */
 class ExpectedTimeSelectionTests {
 
-	private static final MedianRates RATES = new MedianRates(0, 0.05, 1);
+	private static final MedianRates RATES = new MedianRates(0.05, 1);
 
 	private static TimedCandidate candidate(String name, int requests, long backlogTokens, double pace) {
-		return new TimedCandidate(new Candidate(name, requests, true, false, 0), backlogTokens, pace, 1, false);
+		return new TimedCandidate(new Candidate(name, requests, true, false, 0), backlogTokens, pace, false);
 	}
 
 	private static String choose(List<TimedCandidate> candidates, PromptWork work, int seed) {
@@ -103,7 +103,7 @@
 	 * @param kept whether it still gets the request
 	 */
 	@ParameterizedTest
-	@CsvSource({ "0, true", "4000, true", "8000, false", "40000, false" })
+	@CsvSource({ "0, true", "3600, true", "3700, false", "12000, false", "40000, false" })
 	void sharedPromptIsReadOnce(long backlog, boolean kept) {
 		PromptWork work = new PromptWork(3_000, "m 1:2000,2:900", 800, 250);
 		Truth.assertThat(work.sharedTokens()).isEqualTo(2_900);
--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -226,7 +226,8 @@
 		PeerMessage common = new PeerMessage(this.components.members().self().incarnation(),
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(),
-				List.of(), null, this.components.limits().reports(), null, this.components.loads().backlog(), Map.of());
+				List.of(), null, this.components.limits().reports(), null, this.components.loads().backlog(),
+				this.components.loads().paces().reports());
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
 						this.components.rates().requestsPerSecond(), this.components.unserved().summary(), decided,
@@ -280,6 +281,9 @@
 		boolean isNewestPlacement = this.components.peers().receive(message);
 		this.components.grants().recordPeerSpending(message.incarnation(), message.spent());
 		this.components.limits().merge(message.incarnation(), message.limits());
+		this.components.loads()
+			.paces()
+			.merge(message.incarnation(), message.paces(), this.components.directory()::find, EventLog::info);
 		PeerMessage.CrashEvidence evidence = message.crashEvidence();
 		if (evidence != null) {
 			this.components.quarantine().merge(message.incarnation(), evidence);
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -169,6 +169,7 @@
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info));
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
+		ServingMetrics.registerPaces(this.metrics, this.loads);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
 		this.directory.addListener(this.waitingRequests::signal);
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointLoads.java
@@ -49,6 +49,10 @@
 
 	private final ReadPrompts readPrompts;
 
+	private final EndpointPaces paces;
+
+	private final StreamSilence silence;
+
 	private final Map<String, Load> loads = new HashMap<>();
 
 	private Map<String, Map<String, Integer>> peerRequests = Map.of();
@@ -66,6 +70,24 @@
 	public EndpointLoads(MonotonicClock clock) {
 		this.clock = clock;
 		this.readPrompts = new ReadPrompts(clock);
+		this.paces = new EndpointPaces(clock);
+		this.silence = new StreamSilence(clock);
+	}
+
+	/**
+	 * Returns how long engines take.
+	 * @return the paces
+	 */
+	public EndpointPaces paces() {
+		return this.paces;
+	}
+
+	/**
+	 * Returns which endpoints are silent on all streams.
+	 * @return the silence of endpoints
+	 */
+	public StreamSilence silence() {
+		return this.silence;
 	}
 
 	/**
@@ -225,6 +247,8 @@
 	 * @param endpoint the endpoint
 	 */
 	public synchronized void forget(ServedEndpoint endpoint) {
+		this.paces.forget(endpoint);
+		this.silence.forget(endpoint);
 		Load load = this.loads.get(endpoint.identifier());
 		if (load != null && load.requests == 0) {
 			this.loads.remove(endpoint.identifier());
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -65,12 +65,13 @@
 		for (ServedEndpoint endpoint : holding) {
 			EndpointLoads.View view = this.context.loads().view(endpoint);
 			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
+					|| (this.loadable != null && this.context.loads().silence().observe(endpoint, this.context.log()))
 					|| this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0;
 			candidates.add(new EndpointSelection.Candidate(endpoint.identifier(), view.own() + view.elsewhere(),
 					endpoint.failureDomain().equals(this.context.failureDomain()), full, view.penalty()));
 		}
 		EndpointSelection.Candidate chosen = new ExpectedTimes(this.context.loads(), this.request, this.loadable,
-				this.route)
+				this.route, this.context.log())
 			.choose(holding, candidates, ThreadLocalRandom.current().nextInt());
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/ExchangeProgress.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ExchangeProgress.java
@@ -10,13 +10,21 @@
 import org.masticshelf.serving.endpoint.EndpointLoads;
 
 /**
- * Accounts for one sending of a request in the load of its endpoint.
+ * Accounts for one sending of a request in the load of its endpoint, and measures the
+ * endpoint's pace.
  * <p>
- * Invariant: the prompt counts as backlog from the sending to the first event, and for
- * routes that state no allowed pause not at all. Not thread-safe.
+ * Invariants: the prompt counts as backlog from the sending to the first event; on routes
+ * that state no allowed pause there is no backlog and nothing is measured. Not
+ * thread-safe.
  */
 final class ExchangeProgress {
 
+	/**
+	 * The events by which the time between events is measured. Single ones are too near
+	 * to the resolution of a millisecond.
+	 */
+	private static final int MEASURED_EVENTS = 16;
+
 	private final EndpointLoads loads;
 
 	private final ServedEndpoint endpoint;
@@ -25,12 +33,27 @@
 
 	private final @Nullable LoadableName loadable;
 
+	private final long allowedPauseMilliseconds;
+
 	private long unreadTokens;
 
+	/** The prompt tokens that the endpoint reads before it sends the first event. */
+	private long tokensToRead;
+
+	private int requestsThere;
+
 	private boolean begun;
 
+	private boolean awaiting;
+
+	/** When the measurement under way began, monotonic milliseconds. */
+	private long measuredSince;
+
+	private int measuredEvents;
+
 	private ExchangeProgress(EndpointLoads loads, ServedEndpoint endpoint, ServedRequest request,
-			@Nullable LoadableName loadable) {
+			@Nullable LoadableName loadable, long allowedPauseMilliseconds) {
+		this.allowedPauseMilliseconds = allowedPauseMilliseconds;
 		this.loads = loads;
 		this.endpoint = endpoint;
 		this.request = request;
@@ -48,34 +71,77 @@
 	 */
 	static ExchangeProgress begin(EndpointLoads loads, ServedEndpoint endpoint, ServedRequest request,
 			@Nullable LoadableName loadable, ServedRoute route) {
-		ExchangeProgress progress = new ExchangeProgress(loads, endpoint, request, loadable);
-		loads.recordStart(endpoint, loadable, progress.plannedTokens());
 		PromptWork work = ExpectedTimes.work(request, loadable, route);
-		if (work.gapObjectiveMilliseconds() > 0 && work.promptTokens() > 0) {
+		ExchangeProgress progress = new ExchangeProgress(loads, endpoint, request, loadable,
+				work.gapObjectiveMilliseconds());
+		loads.recordStart(endpoint, loadable, progress.plannedTokens());
+		if (progress.allowedPauseMilliseconds > 0) {
 			boolean read = loads.readPrompts().contains(endpoint, request.sharedPrompt());
 			progress.unreadTokens = work.promptTokens() - (read ? work.sharedTokens() : 0);
 			loads.changeBacklog(endpoint, progress.unreadTokens);
+			progress.tokensToRead = loads.backlogTokens(endpoint, PromptWork.TYPICAL_TOKENS_PER_MILLISECOND);
+			EndpointLoads.View view = loads.view(endpoint);
+			progress.requestsThere = view.own() + view.elsewhere();
+			progress.measuredSince = loads.paces().now();
 		}
 		return progress;
 	}
 
+	/** Records that the next event of the answer is awaited. */
+	void recordAwaiting() {
+		if (this.begun && !this.awaiting && this.allowedPauseMilliseconds > 0) {
+			this.awaiting = true;
+			this.loads.silence().recordAwaiting(this.endpoint, this.allowedPauseMilliseconds);
+		}
+	}
+
 	/** Records that an event of the answer has arrived. */
 	void recordEvent() {
-		if (!this.begun) {
-			this.begun = true;
-			if (this.loadable != null) {
-				this.loads.readPrompts().record(this.endpoint, this.request.sharedPrompt());
-			}
-			releaseBacklog();
+		if (this.allowedPauseMilliseconds <= 0) {
+			return;
+		}
+		endWait(true);
+		if (this.begun) {
+			measureOutput();
+			return;
+		}
+		this.begun = true;
+		this.loads.readPrompts().record(this.endpoint, this.request.sharedPrompt());
+		if (this.tokensToRead > 0) {
+			this.loads.paces().recordFirstEvent(this.endpoint, takeMeasuredTime(), this.tokensToRead);
 		}
+		releaseBacklog();
 	}
 
 	/** Records that the exchange has ended. */
 	void end() {
+		endWait(false);
 		releaseBacklog();
 		this.loads.recordEnd(this.endpoint, this.loadable, plannedTokens());
 	}
 
+	private void measureOutput() {
+		this.measuredEvents++;
+		if (this.measuredEvents == MEASURED_EVENTS) {
+			this.measuredEvents = 0;
+			this.loads.paces().recordOutput(this.endpoint, takeMeasuredTime(), MEASURED_EVENTS, this.requestsThere);
+		}
+	}
+
+	private void endWait(boolean arrived) {
+		if (this.awaiting) {
+			this.awaiting = false;
+			this.loads.silence().recordAwaited(this.endpoint, arrived);
+		}
+	}
+
+	private long takeMeasuredTime() {
+		long now = this.loads.paces().now();
+		long milliseconds = now - this.measuredSince;
+		this.measuredSince = now;
+		return milliseconds;
+	}
+
 	private void releaseBacklog() {
 		if (this.unreadTokens > 0) {
 			this.loads.changeBacklog(this.endpoint, -this.unreadTokens);
--- a/serving/src/main/java/org/masticshelf/serving/request/ExpectedTimes.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ExpectedTimes.java
@@ -2,13 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
 
+import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.routing.EndpointSelection;
 import org.masticshelf.kernel.routing.ExpectedTimeSelection;
-import org.masticshelf.kernel.routing.ExpectedTimeSelection.MedianRates;
 import org.masticshelf.kernel.routing.ExpectedTimeSelection.TimedCandidate;
+import org.masticshelf.kernel.routing.PoolPaces;
 import org.masticshelf.kernel.routing.PromptWork;
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
@@ -19,20 +21,21 @@
 /**
  * Adds the expected times of endpoints to the choice among them.
  * <p>
- * Invariant: without a backlog on a route that states an allowed pause, the choice is
- * that of {@link EndpointSelection}. Not thread-safe.
+ * Invariant: on a route that states no allowed pause, and on others while there is no
+ * backlog and engines are not observed to differ, the choice is that of
+ * {@link EndpointSelection}. Not thread-safe.
  */
 final class ExpectedTimes {
 
-	/** The rates of engines of normal speed, assumed until answers show otherwise. */
-	private static final MedianRates TYPICAL_RATES = new MedianRates(0, 1 / PromptWork.TYPICAL_TOKENS_PER_MILLISECOND,
-			1);
-
 	private final EndpointLoads loads;
 
 	private final PromptWork work;
 
-	ExpectedTimes(EndpointLoads loads, ServedRequest request, @Nullable LoadableName loadable, ServedRoute route) {
+	private final Consumer<Event> log;
+
+	ExpectedTimes(EndpointLoads loads, ServedRequest request, @Nullable LoadableName loadable, ServedRoute route,
+			Consumer<Event> log) {
+		this.log = log;
 		this.loads = loads;
 		this.work = work(request, loadable, route);
 	}
@@ -59,19 +62,24 @@
 	 */
 	EndpointSelection.@Nullable Candidate choose(List<ServedEndpoint> endpoints,
 			List<EndpointSelection.Candidate> candidates, int seed) {
+		if (this.work.gapObjectiveMilliseconds() <= 0 || endpoints.isEmpty()) {
+			return EndpointSelection.choose(candidates, this.work.sharedPrompt(), seed);
+		}
+		PoolPaces paces = this.loads.paces().pool(endpoints.getFirst().pool(), this.log);
 		boolean backlogExists = false;
 		List<TimedCandidate> timed = new ArrayList<>(candidates.size());
-		for (int index = 0; index < candidates.size() && this.work.gapObjectiveMilliseconds() > 0; index++) {
+		for (int index = 0; index < candidates.size(); index++) {
 			ServedEndpoint endpoint = endpoints.get(index);
-			long backlog = this.loads.backlogTokens(endpoint, 1 / TYPICAL_RATES.tokenMilliseconds());
+			double ratio = paces.ratio(endpoint.identifier());
+			long backlog = this.loads.backlogTokens(endpoint, 1 / (paces.rates().tokenMilliseconds() * ratio));
 			backlogExists |= backlog > 0;
-			timed.add(new TimedCandidate(candidates.get(index), backlog, 1, 1,
+			timed.add(new TimedCandidate(candidates.get(index), backlog, ratio,
 					this.loads.readPrompts().contains(endpoint, this.work.sharedPrompt())));
 		}
-		if (!backlogExists) {
+		if (!backlogExists && !paces.differ()) {
 			return EndpointSelection.choose(candidates, this.work.sharedPrompt(), seed);
 		}
-		TimedCandidate chosen = ExpectedTimeSelection.choose(timed, this.work, TYPICAL_RATES, seed);
+		TimedCandidate chosen = ExpectedTimeSelection.choose(timed, this.work, paces.rates(), seed);
 		return (chosen != null) ? chosen.candidate() : null;
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -303,16 +303,15 @@
 		int priority = (payer != null && payer.priority() != null) ? payer.priority() : route.priority();
 		OutboundRequest outbound = new OutboundRequest(this.request, endpoint, (payer != null) ? payer.name() : null,
 				priority, remaining(), this.relay.lastIdentifier());
-		ExchangeProgress progress = ExchangeProgress.begin(this.context.loads(), endpoint, this.request, loadable(),
-				route);
+		ExchangeProgress sent = ExchangeProgress.begin(this.context.loads(), endpoint, this.request, loadable(), route);
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(endpoint, progress), this.caller, chooseConnection(endpoint),
+					new RouteLimits(endpoint, sent), this.caller, chooseConnection(endpoint),
 					this.context.plannedStop())
 				.run(this.relay);
 		}
 		finally {
-			progress.end();
+			sent.end();
 			this.context.waitingRequests().signal();
 		}
 	}
@@ -630,6 +629,7 @@
 
 		@Override
 		public long gapMilliseconds() {
+			this.progress.recordAwaiting();
 			long silence = SILENCE_GAP_OBJECTIVES * route().gapObjectiveMilliseconds();
 			return canTryAnother() ? Math.min(remaining(), silence - withoutProgress()) : remaining();
 		}
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -8,6 +8,7 @@
 
 import org.masticshelf.kernel.port.KeyValueStore;
 import org.masticshelf.serving.endpoint.EndpointLimits;
+import org.masticshelf.serving.endpoint.EndpointLoads;
 import org.masticshelf.serving.placement.StarvationMonitor;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
 
@@ -78,6 +79,29 @@
 			.register(registry);
 	}
 
+	/**
+	 * Registers the metrics of the speed of engines.
+	 * @param registry the registry
+	 * @param loads the source of the values
+	 */
+	public static void registerPaces(PrometheusRegistry registry, EndpointLoads loads) {
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_slow_endpoints")
+			.help("Engines that take over a fifth longer than the median of their pool, where engines differ.")
+			.callback((callback) -> callback.call(loads.paces().slowEndpoints()))
+			.register(registry);
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_silent_endpoints")
+			.help("Engines that are silent on all streams of this daemon for longer than allowed.")
+			.callback((callback) -> callback.call(loads.silence().size()))
+			.register(registry);
+		GaugeWithCallback.builder()
+			.name("masticshelf_serving_prompt_backlog_tokens")
+			.help("Prompt tokens of this daemon's requests without a first event.")
+			.callback((callback) -> callback.call(loads.backlog().values().stream().mapToLong(Long::longValue).sum()))
+			.register(registry);
+	}
+
 	/**
 	 * Registers the metrics of models and adapters that are requested and not served.
 	 * They are known to the placing daemon and 0 at all others.
--- a/serving/src/test/java/org/masticshelf/serving/request/ExpectedTimesTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ExpectedTimesTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -10,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.routing.EndpointSelection.Candidate;
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
@@ -32,6 +34,8 @@
 
 	private final EndpointLoads loads = new EndpointLoads(this.clock);
 
+	private final List<Event> events = new ArrayList<>();
+
 	private final ServedEndpoint reading = endpoint("reading");
 
 	private final ServedEndpoint idle = endpoint("idle");
@@ -58,7 +62,7 @@
 		Candidate chosen = new ExpectedTimes(this.loads,
 				new ServedRequest("r", "POST", "/a/b", "host", null, 2_000, MODEL, 100, 10, "", List.of(), null,
 						List.of(), new byte[0]),
-				MODEL, route(300))
+				MODEL, route(300), this.events::add)
 			.choose(List.of(this.reading, this.idle),
 					List.of(new Candidate("reading", requestsAtReading, true, false, 0),
 							new Candidate("idle", requestsAtIdle, true, false, 0)),
@@ -115,4 +119,34 @@
 		Truth.assertThat(choose(1, 4)).isEqualTo("reading");
 	}
 
+	/**
+	 * Guards against a slow engine that gets as many requests as a fast one, once answers
+	 * have shown the difference, and against a stream whose end leaves it silent.
+	 */
+	@Test
+	void answersShowWhichEngineIsSlow() {
+		for (int answer = 0; answer < 10; answer++) {
+			for (ServedEndpoint endpoint : List.of(this.reading, this.idle, endpoint("other"))) {
+				ExchangeProgress progress = ExchangeProgress.begin(this.loads, endpoint, request(1_000), MODEL,
+						route(300));
+				this.clock.advance(Duration.ofMillis(endpoint.equals(this.reading) ? 300 : 50));
+				progress.recordEvent();
+				for (int event = 0; event < 40; event++) {
+					progress.recordAwaiting();
+					this.clock.advance(Duration.ofMillis(endpoint.equals(this.reading) ? 60 : 10));
+					progress.recordEvent();
+				}
+				progress.recordAwaiting();
+				progress.end();
+				this.clock.advance(Duration.ofMillis(301));
+				Truth.assertThat(this.loads.silence().observe(endpoint, this.events::add)).isFalse();
+			}
+		}
+		Truth.assertThat(choose(3, 6)).isEqualTo("idle");
+		Truth.assertThat(this.loads.paces().reports().keySet()).contains("reading");
+		Truth.assertThat(this.events.stream().map(Event::name).toList()).containsExactly("pool.pace");
+		this.clock.advance(Duration.ofMinutes(1));
+		Truth.assertThat(choose(3, 6)).isEqualTo("reading");
+	}
+
 }
