--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -17,6 +17,7 @@
 import org.masticshelf.control.duty.Duty;
 import org.masticshelf.control.membership.Members;
 import org.masticshelf.kernel.event.Event;
+import org.masticshelf.kernel.routing.PromptWork;
 import org.masticshelf.kernel.serving.ServedEndpoint.Holdings;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.endpoint.EndpointDirectory;
@@ -196,6 +197,8 @@
 			this.components.limits().setPeers(addresses.keySet());
 		}
 		this.components.loads().setPeerRequests(this.components.peers().runningRequests());
+		this.components.loads()
+			.setPeerBacklog(this.components.peers().backlog(PromptWork.TYPICAL_TOKENS_PER_MILLISECOND));
 		boolean full = all
 				&& this.clock.milliseconds() - this.fullPlacementSentAt >= FULL_PLACEMENT_INTERVAL_MILLISECONDS;
 		this.fullPlacementSentAt = full ? this.clock.milliseconds() : this.fullPlacementSentAt;
@@ -224,7 +227,8 @@
 				this.components.members().self().address(), this.lastMessageNumber.incrementAndGet(),
 				this.components.grants().spent(), this.components.loads().runningRequests(), List.of(), Map.of(),
 				List.of(), null, this.components.limits().reports(), null,
-				this.components.waitingRequests().queuedWork());
+				this.components.waitingRequests().queuedWork(), this.components.loads().backlog(),
+				this.components.loads().paces().reports());
 		return new PeerBroadcast(common,
 				new PeerBroadcast.Details(placingPeer(), this.components.waitingRequests().summary(),
 						this.components.rates().requestsAndTokensPerSecond(), this.components.unserved().summary(),
@@ -278,6 +282,9 @@
 		boolean isNewestPlacement = this.components.peers().receive(message);
 		this.components.grants().recordPeerSpending(message.incarnation(), message.spent());
 		this.components.limits().merge(message.incarnation(), message.limits());
+		this.components.loads()
+			.paces()
+			.merge(message.incarnation(), message.paces(), this.components.directory()::find, EventLog::info);
 		PeerMessage.CrashEvidence evidence = message.crashEvidence();
 		if (evidence != null) {
 			this.components.quarantine().merge(message.incarnation(), evidence);
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -198,6 +198,7 @@
 		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
 		ServingMetrics.registerColdEndpoints(this.metrics, this.coldEndpoints);
 		ServingMetrics.registerEvacuations(this.metrics, this.evacuations);
+		ServingMetrics.registerPaces(this.metrics, this.loads);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
 		this.directory.addListener(this.waitingRequests::signal);
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerBroadcast.java
@@ -60,7 +60,7 @@
 				this.common.spent(), this.common.running(), toPlacingPeer ? this.details.waiting() : List.of(),
 				toPlacingPeer ? this.details.rates() : Map.of(), toPlacingPeer ? this.details.unserved() : List.of(),
 				(decided != null) ? decided.withEstimates(estimates) : null, this.common.limits(), evidence,
-				this.common.queued()));
+				this.common.queued(), this.common.backlog(), this.common.paces()));
 	}
 
 	private byte[] commonBytes() {
@@ -70,7 +70,7 @@
 			bytes = Json.toBytes(new PeerMessage(this.common.incarnation(), this.common.address(), this.common.number(),
 					this.common.spent(), this.common.running(), List.of(), Map.of(), List.of(),
 					(decided != null) ? decided.withEstimates(Map.of()) : null, this.common.limits(), null,
-					this.common.queued()));
+					this.common.queued(), this.common.backlog(), this.common.paces()));
 			this.commonBytes = bytes;
 		}
 		return bytes;
--- a/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
+++ b/serving/src/main/java/org/masticshelf/serving/peer/PeerMessage.java
@@ -27,13 +27,18 @@
  * @param crashEvidence what it knows about requests that crash endpoints; sent to a few
  * peers at a time
  * @param queued its requests that wait for slots, for each pool that is ordered by cost
+ * @param backlog the prompt tokens of its requests without a first event by endpoint,
+ * only positive ones
+ * @param paces what it learned of the time that endpoints take, in hundredths of that of
+ * their pool's median
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record PeerMessage(String incarnation, String address, long number, Map<String, Double> spent,
 		Map<String, Map<String, Integer>> running, List<Waiting> waiting, Map<String, Double> rates,
 		List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
-		@Nullable CrashEvidence crashEvidence, List<QueuedWork> queued) {
+		@Nullable CrashEvidence crashEvidence, List<QueuedWork> queued, Map<String, Long> backlog,
+		Map<String, Integer> paces) {
 
 	/** Creates a message in which missing parts are empty. */
 	public PeerMessage {
@@ -44,10 +49,13 @@
 		unserved = (unserved != null) ? List.copyOf(unserved) : List.of();
 		limits = orEmpty(limits);
 		queued = (queued != null) ? List.copyOf(queued) : List.of();
+		backlog = orEmpty(backlog);
+		paces = orEmpty(paces);
 	}
 
 	/**
-	 * Creates a message without requests that wait for slots.
+	 * Creates a message of a daemon without requests that wait for slots, backlog and
+	 * paces.
 	 * @param incarnation the daemon's incarnation
 	 * @param address the IP address and port on which it listens for peers
 	 * @param number the sequence number
@@ -65,7 +73,7 @@
 			List<Unserved> unserved, @Nullable Placement placement, Map<String, StatedLimit> limits,
 			@Nullable CrashEvidence crashEvidence) {
 		this(incarnation, address, number, spent, running, waiting, rates, unserved, placement, limits, crashEvidence,
-				List.of());
+				List.of(), Map.of(), Map.of());
 	}
 
 	private static <V> Map<String, V> orEmpty(@Nullable Map<String, V> map) {
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -13,6 +13,7 @@
 import org.masticshelf.kernel.serving.LoadableName;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
+import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.endpoint.EndpointLoads;
 
@@ -44,11 +45,15 @@
 
 	private final @Nullable LoadableName loadable;
 
+	private final ServedRoute route;
+
 	private boolean coldLimited;
 
 	private @Nullable UrgentArrivals urgentArrivals;
 
-	EndpointChooser(RequestContext context, ServedRequest request, String pool, @Nullable EngineProfile engine) {
+	EndpointChooser(RequestContext context, ServedRequest request, ServedRoute route, String pool,
+			@Nullable EngineProfile engine) {
+		this.route = route;
 		this.context = context;
 		this.request = request;
 		this.pool = pool;
@@ -81,6 +86,7 @@
 			EndpointLoads.View view = this.context.loads().view(endpoint);
 			boolean cold = this.context.endpointLimits().isCold(endpoint);
 			boolean full = view.ejected() || view.refusing() || isFull(endpoint, view)
+					|| (this.loadable != null && this.context.loads().silence().observe(endpoint, this.context.log()))
 					|| !this.context.endpointBodies().hasRoom(endpoint, this.request.body().length);
 			if (!full && this.context.endpointLimits().availability(endpoint, 0).milliseconds() > 0) {
 				full = true;
@@ -90,8 +96,9 @@
 					endpoint.failureDomain().equals(this.context.failureDomain()), full,
 					view.penalty() + (cold ? COLD_PENALTY_REQUESTS : 0)));
 		}
-		EndpointSelection.Candidate chosen = EndpointSelection.choose(candidates, this.request.sharedPrompt(),
-				ThreadLocalRandom.current().nextInt());
+		EndpointSelection.Candidate chosen = new ExpectedTimes(this.context.loads(), this.request, this.loadable,
+				this.route, this.context.log())
+			.choose(holding, candidates, ThreadLocalRandom.current().nextInt());
 		if (chosen == null && heldBackFrom != null && !this.coldLimited) {
 			this.coldLimited = true;
 			this.context.metrics().recordColdLimited();
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -274,10 +274,6 @@
 		return (loadable != null) ? this.context.peers().readyIn(pool(), loadable) : -1;
 	}
 
-	private long tokens() {
-		return Math.max(0, this.request.totalTokens());
-	}
-
 	private ExchangeResult send(ServedEndpoint endpoint) {
 		ServedOrganisation payer = admitted().organisation();
 		ServedRoute route = route();
@@ -297,23 +293,24 @@
 		int priority = (payer != null && payer.priority() != null) ? payer.priority() : route.priority();
 		OutboundRequest outbound = new OutboundRequest(this.request, endpoint, (payer != null) ? payer.name() : null,
 				priority, remaining(), this.relay.lastIdentifier());
-		if (!this.started) {
-			this.context.loads().recordStart(endpoint, loadable(), tokens());
-		}
+		ExchangeProgress sent = ExchangeProgress.begin(this.context.loads(), endpoint, this.request, loadable(), route,
+				this.started);
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
-					new RouteLimits(endpoint, elapsed()), this.caller, chooseConnection(endpoint),
+					new RouteLimits(endpoint, sent), this.caller, chooseConnection(endpoint),
 					this.context.plannedStop())
 				.run(this.relay);
 		}
 		finally {
 			this.context.endpointBodies().end(endpoint, this.request.body().length);
-			recordEnd(endpoint);
+			sent.end();
+			this.started = false;
+			this.context.waitingRequests().signal();
 		}
 	}
 
 	private void recordEnd(ServedEndpoint endpoint) {
-		this.context.loads().recordEnd(endpoint, loadable(), tokens());
+		this.context.loads().recordEnd(endpoint, loadable(), Math.max(0, this.request.totalTokens()));
 		this.started = false;
 		this.context.waitingRequests().signal();
 	}
@@ -569,13 +566,15 @@
 	 */
 	private final class RouteLimits implements EndpointExchange.Limits {
 
-		private long progressAt;
+		private long progressAt = elapsed();
 
 		private final ServedEndpoint endpoint;
 
-		private RouteLimits(ServedEndpoint endpoint, long sentAt) {
+		private final ExchangeProgress progress;
+
+		private RouteLimits(ServedEndpoint endpoint, ExchangeProgress progress) {
 			this.endpoint = endpoint;
-			this.progressAt = sentAt;
+			this.progress = progress;
 		}
 
 		@Override
@@ -604,6 +603,7 @@
 		@Override
 		public void recordEvent() {
 			this.progressAt = elapsed();
+			this.progress.recordEvent();
 			if (Forwarding.this.answeringSince < 0) {
 				Forwarding.this.answeringSince = this.progressAt;
 			}
@@ -625,6 +625,7 @@
 
 		@Override
 		public long gapMilliseconds() {
+			this.progress.recordAwaiting();
 			long silence = SILENCE_GAP_OBJECTIVES * route().gapObjectiveMilliseconds();
 			return canTryAnother() ? Math.min(remaining(), silence - withoutProgress()) : remaining();
 		}
