Keep requests within the regions that route and organisation allow

Cause: routes and organisations could not name where their requests may run.

The choice leaves other endpoints out before it looks at load, also for retries; a request for which the pool has no endpoint in an allowed region is refused at once, before its grant is charged. Without a mapping nothing is restricted.

--- a/kernel/src/main/java/org/masticshelf/kernel/serving/ServedRoute.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/serving/ServedRoute.java
@@ -1,6 +1,7 @@
 package org.masticshelf.kernel.serving;
 
 import java.util.List;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -20,10 +21,11 @@
  * @param maximumAttempts the maximum number of endpoints that a request is sent to
  * @param open whether no key is required
  * @param targets the pools and their weights, at least one
+ * @param allowedRegions the regions whose endpoints may serve requests, empty for all
  */
 public record ServedRoute(String name, String host, String prefix, Execution execution, long timeoutMilliseconds,
 		long objectiveMilliseconds, long gapObjectiveMilliseconds, int priority, int maximumAttempts, boolean open,
-		List<Target> targets) {
+		List<Target> targets, Set<String> allowedRegions) {
 
 	private static final long MINIMUM_EVENT_TIMEOUT_MILLISECONDS = 2_000;
 
@@ -31,9 +33,31 @@
 
 	private static final long EVENT_TIMEOUT_GAP_OBJECTIVES = 8;
 
+	/**
+	 * Creates a route that all regions may serve.
+	 * @param name the name of the route
+	 * @param host the host in lower case
+	 * @param prefix the path prefix, with a slash at both ends
+	 * @param execution how often a request may run
+	 * @param timeoutMilliseconds the maximum time that a request may be kept waiting
+	 * @param objectiveMilliseconds the latency objective for an answer
+	 * @param gapObjectiveMilliseconds the objective for the time between events
+	 * @param priority the priority, 0 is the highest
+	 * @param maximumAttempts the maximum number of endpoints that a request is sent to
+	 * @param open whether no key is required
+	 * @param targets the pools and their weights, at least one
+	 */
+	public ServedRoute(String name, String host, String prefix, Execution execution, long timeoutMilliseconds,
+			long objectiveMilliseconds, long gapObjectiveMilliseconds, int priority, int maximumAttempts, boolean open,
+			List<Target> targets) {
+		this(name, host, prefix, execution, timeoutMilliseconds, objectiveMilliseconds, gapObjectiveMilliseconds,
+				priority, maximumAttempts, open, targets, Set.of());
+	}
+
 	/** Creates a route. */
 	public ServedRoute {
 		targets = List.copyOf(targets);
+		allowedRegions = Set.copyOf(allowedRegions);
 		if (targets.isEmpty()) {
 			throw new IllegalArgumentException("route " + name + " has no target");
 		}
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -163,6 +163,7 @@
 				this::tables, this.clock, InstantSource.system(), EventLog::info, this::findingsChanged);
 		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged,
 				this.coldEndpoints);
+		this.directory.setRegions(settings.regions());
 		this.evacuations.addTakeBackListener(this.coldEndpoints::presumeCold);
 		this.placementDuty = this.duties.compete(PLACEMENT_DUTY);
 		this.quarantineRecord = new QuarantineRecord(ports.store(), this.quarantine, this.clock, InstantSource.system(),
--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -1,5 +1,6 @@
 package org.masticshelf.serving;
 
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.share.ColdBound;
 import org.masticshelf.serving.caller.ServingListener.Address;
 
@@ -16,9 +17,10 @@
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
  * @param coldBound how many requests a cold endpoint may get within one second
+ * @param regions the regions of the failure domains
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound) {
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound, Regions regions) {
 
 	/**
 	 * Creates a builder with default settings.
@@ -57,6 +59,8 @@
 
 		private ColdBound coldBound = ColdBound.DEFAULT;
 
+		private Regions regions = Regions.NONE;
+
 		private Builder() {
 		}
 
@@ -142,13 +146,24 @@
 			return this;
 		}
 
+		/**
+		 * Sets the regions of the failure domains.
+		 * @param mapping the regions
+		 * @return this builder
+		 */
+		public Builder withRegions(Regions mapping) {
+			this.regions = mapping;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound,
+					this.regions);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
+++ b/serving/src/main/java/org/masticshelf/serving/endpoint/EndpointDirectory.java
@@ -14,6 +14,7 @@
 
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedEndpoint.Holdings;
 import org.masticshelf.kernel.time.MonotonicClock;
@@ -56,6 +57,8 @@
 
 	private Set<String> evacuated = Set.of();
 
+	private volatile Regions regions = Regions.NONE;
+
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
 	private final List<Consumer<ServedEndpoint>> removalListeners = new CopyOnWriteArrayList<>();
@@ -70,6 +73,22 @@
 		this.log = log;
 	}
 
+	/**
+	 * Sets the regions of the failure domains.
+	 * @param mapping the regions
+	 */
+	public void setRegions(Regions mapping) {
+		this.regions = mapping;
+	}
+
+	/**
+	 * Returns the regions of the failure domains.
+	 * @return the regions
+	 */
+	public Regions regions() {
+		return this.regions;
+	}
+
 	/**
 	 * Adds a listener that is called after each change.
 	 * @param listener the listener
--- a/serving/src/main/java/org/masticshelf/serving/request/Admission.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Admission.java
@@ -4,8 +4,10 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.masticshelf.kernel.admission.WaitDecision;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.serving.ServedOrganisation;
 import org.masticshelf.kernel.serving.ServedPool;
 import org.masticshelf.kernel.serving.ServedRequest;
@@ -89,9 +91,27 @@
 					.with("crashes", finding.crashes()));
 			return new Refused(SERVICE_UNAVAILABLE, "request_quarantined", finding.remainingMilliseconds());
 		}
+		if (!hasEndpointInAllowedRegion(route, organisation, pool)) {
+			this.context.log()
+				.accept(this.events.apply("request.outside_regions")
+					.with("route", route.name())
+					.with("route_regions", route.allowedRegions())
+					.with("organisation_regions", (organisation != null) ? organisation.allowedRegions() : "none"));
+			return new Refused(SERVICE_UNAVAILABLE, "no_endpoint",
+					WaitDecision.RETRY_AFTER_WITHOUT_ESTIMATE_MILLISECONDS);
+		}
 		return spend(tables, route, organisation, pool);
 	}
 
+	private boolean hasEndpointInAllowedRegion(ServedRoute route, @Nullable ServedOrganisation organisation,
+			ServedPool pool) {
+		Regions regions = this.context.directory().regions();
+		return !regions.restrict(route, organisation) || this.context.directory()
+			.inPool(pool.name())
+			.stream()
+			.anyMatch((endpoint) -> regions.allow(endpoint.failureDomain(), route, organisation));
+	}
+
 	private Outcome spend(ServedTables tables, ServedRoute route, @Nullable ServedOrganisation organisation,
 			ServedPool pool) {
 		String organisationName = (organisation != null) ? organisation.name() : "none";
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -11,10 +11,12 @@
 import org.masticshelf.kernel.routing.EndpointSelection;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.endpoint.EndpointLoads;
+import org.masticshelf.serving.request.Admission.Admitted;
 
 /**
  * Chooses the endpoint for a request among those that hold what it needs and have
@@ -38,6 +40,8 @@
 
 	private final ServedRequest request;
 
+	private final Admitted admitted;
+
 	private final String pool;
 
 	private final @Nullable EngineProfile engine;
@@ -46,12 +50,13 @@
 
 	private boolean coldLimited;
 
-	EndpointChooser(RequestContext context, ServedRequest request, String pool, @Nullable EngineProfile engine) {
+	EndpointChooser(RequestContext context, ServedRequest request, Admitted admitted) {
 		this.context = context;
 		this.request = request;
-		this.pool = pool;
-		this.engine = engine;
-		this.loadable = (engine != null) ? request.loadable() : null;
+		this.admitted = admitted;
+		this.pool = admitted.pool().name();
+		this.engine = admitted.pool().engine();
+		this.loadable = (this.engine != null) ? request.loadable() : null;
 	}
 
 	/**
@@ -61,7 +66,7 @@
 	 * @return the endpoint, {@code null} if no suitable endpoint has capacity
 	 */
 	@Nullable ServedEndpoint choose(Set<String> avoided) {
-		List<ServedEndpoint> holding = this.context.directory().holding(this.pool, this.loadable);
+		List<ServedEndpoint> holding = holding();
 		if (holding.size() > 1) {
 			holding.removeIf((endpoint) -> avoided.contains(endpoint.identifier()));
 		}
@@ -93,6 +98,22 @@
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
 
+	/**
+	 * Returns whether more than one endpoint may serve the request.
+	 * @return whether several hold what it needs in an allowed region
+	 */
+	boolean hasChoice() {
+		return holding().size() > 1;
+	}
+
+	private List<ServedEndpoint> holding() {
+		List<ServedEndpoint> holding = this.context.directory().holding(this.pool, this.loadable);
+		Regions regions = this.context.directory().regions();
+		holding.removeIf((endpoint) -> !regions.allow(endpoint.failureDomain(), this.admitted.route(),
+				this.admitted.organisation()));
+		return holding;
+	}
+
 	/**
 	 * Returns when the first endpoint takes the request, if limits and pauses that
 	 * endpoints state are all that keeps it from being sent.
@@ -102,7 +123,7 @@
 	 */
 	@Nullable Availability limitedAvailability(int ahead) {
 		Availability earliest = null;
-		for (ServedEndpoint endpoint : this.context.directory().holding(this.pool, this.loadable)) {
+		for (ServedEndpoint endpoint : holding()) {
 			Availability availability = availability(endpoint, ahead);
 			if (availability.milliseconds() == 0) {
 				return null;
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -168,7 +168,7 @@
 	private @Nullable ServedEndpoint awaitEndpoint() {
 		WaitingRequests.Entry entry = null;
 		ReadinessEstimate estimate = ReadinessEstimate.NONE;
-		EndpointChooser chooser = new EndpointChooser(this.context, this.request, pool(), admitted().pool().engine());
+		EndpointChooser chooser = new EndpointChooser(this.context, this.request, admitted());
 		try {
 			while (true) {
 				if (this.caller.isGone()) {
@@ -646,7 +646,7 @@
 		private boolean canTryAnother() {
 			return route().execution().isRepeatable() && endsBeforeStop()
 					&& Forwarding.this.attempts + 1 < route().maximumAttempts()
-					&& Forwarding.this.context.directory().holding(pool(), loadable()).size() > 1;
+					&& new EndpointChooser(Forwarding.this.context, Forwarding.this.request, admitted()).hasChoice();
 		}
 
 	}
--- a/serving/src/test/java/org/masticshelf/serving/request/LimitedEndpointForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/LimitedEndpointForwardingTests.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.google.common.truth.Truth;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -18,6 +19,7 @@
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.serving.ColdStart;
 import org.masticshelf.kernel.serving.EvacuatedDomains;
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedPool;
 import org.masticshelf.kernel.serving.ServedRequest;
@@ -75,8 +77,12 @@
 	private final RecordingCaller caller = new RecordingCaller();
 
 	private static ServedTables tables(Execution execution) {
+		return tables(execution, Set.of());
+	}
+
+	private static ServedTables tables(Execution execution, Set<String> regions) {
 		ServedRoute route = new ServedRoute("route", "host", "/a/", execution, 2_000, 1_000, 300, 1, 3, true,
-				List.of(new ServedRoute.Target("pool", 1)));
+				List.of(new ServedRoute.Target("pool", 1)), regions);
 		return new ServedTables(1, List.of(route),
 				Map.of("pool", new ServedPool("pool", 10, null, new ColdStart(8_000, 2))), Map.of(), false,
 				new ServedTables.Limits(1_000, 1_000));
@@ -192,6 +198,27 @@
 		Truth.assertThat(Collections.frequency(eventNames(), "request.cold_limited")).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against requests that leave their region, and against callers that are kept
+	 * waiting although no endpoint can qualify.
+	 * @param region the region that the route allows
+	 * @param status the status for the caller
+	 * @param first the requests that the endpoint in region x gets
+	 */
+	@ParameterizedTest
+	@CsvSource({ "x, 200, 1", "y, 503, 0", "z, 503, 0" })
+	void requestStaysInAllowedRegion(String region, int status, int first) throws IOException {
+		this.tables = tables(Execution.REPEATABLE, Set.of(region));
+		this.directory.setRegions(new Regions(Map.of("a", "x", "b", "y")));
+		ServedEndpoint inOtherRegion = endpoint("b", NOT_RUN, NOT_RUN, NOT_RUN, NOT_RUN);
+		list(inOtherRegion, endpoint("a", OK_ANSWER));
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(status);
+		Truth.assertThat(requestsAt(1)).isEqualTo(first);
+		Truth.assertThat(requestsAt(0) > 0).isEqualTo(region.equals("y"));
+		Truth.assertThat(eventNames().contains("request.outside_regions")).isEqualTo(region.equals("z"));
+	}
+
 	/** A wire format with short header names. */
 	private enum Protocol implements EndpointProtocol {
 
