Reserve part of the cold bound for requests under way

Cause: two halves of the daemons that use their shares of a cold endpoint to the full reach the bound exactly, and requests sent before a daemon has learned that the endpoint is cold come on top. ColdFleetTests exceeded the bound by one request with seed 236 (34 daemons, no notice in the store).

Change: shares are sized for half of the bound less two requests (a quarter of a small bound). The seeds of ColdFleetTests now include 236.

--- a/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
+++ b/kernel/src/main/java/org/masticshelf/kernel/share/LimitShare.java
@@ -30,6 +30,15 @@
 
 	private static final double BURST_SECONDS = 0.5;
 
+	/**
+	 * The reserve in the bound of a cold endpoint for requests that daemons send until
+	 * they have learned that it is cold. Two halves that use their shares to the full
+	 * would leave no room for these.
+	 */
+	private static final double RESERVED_REQUESTS = 2;
+
+	private static final double MAXIMUM_RESERVED_PART = 0.25;
+
 	/**
 	 * Returns the share of a daemon.
 	 * @param requestsPerSecond the limit
@@ -51,8 +60,8 @@
 	/**
 	 * Returns the share of a daemon in what a cold endpoint tolerates. The holders'
 	 * bursts of one request and their rates together stay within half of the bound for
-	 * one second, so that two halves of the daemons that do not see each other stay
-	 * within it.
+	 * one second, less a reserve, so that two halves of the daemons that do not see each
+	 * other stay within the bound.
 	 * @param requestsPerSecond the requests a second that the endpoint tolerates
 	 * @param bound how many requests it may get within one second
 	 * @param endpoint identifies the run of the endpoint
@@ -62,7 +71,8 @@
 	 */
 	public static LimitShare ofCold(double requestsPerSecond, ColdBound bound, String endpoint, String self,
 			Collection<String> peers) {
-		double half = bound.requestsInOneSecond(requestsPerSecond) / 2;
+		double inOneSecond = bound.requestsInOneSecond(requestsPerSecond);
+		double half = (inOneSecond - Math.min(RESERVED_REQUESTS, inOneSecond * MAXIMUM_RESERVED_PART)) / 2;
 		long holders = Math.clamp((long) (half / 2), 1, peers.size() + 1);
 		double rate = Math.min(requestsPerSecond, half - holders);
 		return (rate > 0 && countAhead(endpoint, self, peers) < holders) ? new LimitShare(rate / holders, 1) : NONE;
--- a/serving/src/test/java/org/masticshelf/serving/endpoint/ColdFleetTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/endpoint/ColdFleetTests.java
@@ -32,6 +32,10 @@
 
 	private static final int STEP = 10;
 
+	private static final int FIRST_SEED = 220;
+
+	private static final int SEEDS = 20;
+
 	private static final int COLD_AT = 4_000;
 
 	private static final int COLD_MILLISECONDS = 10_000;
@@ -98,7 +102,9 @@
 			"4, 8, false", "34, 1, true", "34, 1, false", "34, 8, true", "34, 8, false" })
 	void coldEndpointGetsNoMoreThanTheBoundInAnySecond(int count, double tolerated, boolean inEntry) {
 		int bound = (int) ColdBound.DEFAULT.requestsInOneSecond(tolerated);
-		for (int seed = 0; seed < 20; seed++) {
+		for (int run = 0; run < SEEDS; run++) {
+			// Seed 236 of the last case exceeds the bound if the shares have no reserve.
+			int seed = FIRST_SEED + run;
 			replay(count, tolerated, inEntry, seed);
 			Truth.assertWithMessage("requests in one second, seed %s", seed).that(mostInOneSecond()).isAtMost(bound);
 			Truth.assertWithMessage("requests while cold, seed %s", seed).that(this.arrivals.size()).isAtLeast(5);
