--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -1,5 +1,6 @@
 package org.masticshelf.serving;
 
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.share.ColdBound;
 import org.masticshelf.serving.caller.ServingListener.Address;
 
@@ -16,13 +17,14 @@
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at
  * full speed
  * @param coldBound how many requests a cold endpoint may get within one second
+ * @param regions the regions of the failure domains
  * @param orderedByCost whether waiting requests are ordered by cost where routes state
  * different priorities, rather than by arrival everywhere
  * @param memoryMegabytes the memory of the process that bounds the bytes held for slow
  * readers, 0 for no bound
  */
 public record ServingSettings(String instance, String failureDomain, Address callers, Address probes, Address peers,
-		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound,
+		long stopMilliseconds, long settleMilliseconds, int storeLoadsAtOnce, ColdBound coldBound, Regions regions,
 		boolean orderedByCost, long memoryMegabytes) {
 
 	/**
@@ -66,6 +68,8 @@
 
 		private long memoryMegabytes;
 
+		private Regions regions = Regions.NONE;
+
 		private Builder() {
 		}
 
@@ -172,6 +176,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the regions of the failure domains.
+		 * @param mapping the regions
+		 * @return this builder
+		 */
+		public Builder withRegions(Regions mapping) {
+			this.regions = mapping;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
@@ -179,7 +193,7 @@
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
 					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound,
-					this.orderedByCost, this.memoryMegabytes);
+					this.regions, this.orderedByCost, this.memoryMegabytes);
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointChooser.java
@@ -11,11 +11,13 @@
 import org.masticshelf.kernel.routing.EndpointSelection;
 import org.masticshelf.kernel.serving.EngineProfile;
 import org.masticshelf.kernel.serving.LoadableName;
+import org.masticshelf.kernel.serving.Regions;
 import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRoute;
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.endpoint.EndpointLoads;
+import org.masticshelf.serving.request.Admission.Admitted;
 
 /**
  * Chooses the endpoint for a request among those that hold what it needs and have
@@ -39,26 +41,25 @@
 
 	private final ServedRequest request;
 
+	private final Admitted admitted;
+
 	private final String pool;
 
 	private final @Nullable EngineProfile engine;
 
 	private final @Nullable LoadableName loadable;
 
-	private final ServedRoute route;
-
 	private boolean coldLimited;
 
 	private @Nullable UrgentArrivals urgentArrivals;
 
-	EndpointChooser(RequestContext context, ServedRequest request, ServedRoute route, String pool,
-			@Nullable EngineProfile engine) {
-		this.route = route;
+	EndpointChooser(RequestContext context, ServedRequest request, Admitted admitted) {
 		this.context = context;
 		this.request = request;
-		this.pool = pool;
-		this.engine = engine;
-		this.loadable = (engine != null) ? request.loadable() : null;
+		this.admitted = admitted;
+		this.pool = admitted.pool().name();
+		this.engine = admitted.pool().engine();
+		this.loadable = (this.engine != null) ? request.loadable() : null;
 	}
 
 	/**
@@ -76,7 +77,7 @@
 	 * @return the endpoint, {@code null} if no suitable endpoint has capacity
 	 */
 	@Nullable ServedEndpoint choose(Set<String> avoided) {
-		List<ServedEndpoint> holding = this.context.directory().holding(this.pool, this.loadable);
+		List<ServedEndpoint> holding = holding();
 		if (holding.size() > 1) {
 			holding.removeIf((endpoint) -> avoided.contains(endpoint.identifier()));
 		}
@@ -97,7 +98,7 @@
 					view.penalty() + (cold ? COLD_PENALTY_REQUESTS : 0)));
 		}
 		EndpointSelection.Candidate chosen = new ExpectedTimes(this.context.loads(), this.request, this.loadable,
-				this.route, this.context.log())
+				this.admitted.route(), this.context.log())
 			.choose(holding, candidates, ThreadLocalRandom.current().nextInt());
 		if (chosen == null && heldBackFrom != null && !this.coldLimited) {
 			this.coldLimited = true;
@@ -111,6 +112,22 @@
 		return (chosen != null) ? this.context.directory().find(chosen.identifier()) : null;
 	}
 
+	/**
+	 * Returns whether more than one endpoint may serve the request.
+	 * @return whether several hold what it needs in an allowed region
+	 */
+	boolean hasChoice() {
+		return holding().size() > 1;
+	}
+
+	private List<ServedEndpoint> holding() {
+		List<ServedEndpoint> holding = this.context.directory().holding(this.pool, this.loadable);
+		Regions regions = this.context.directory().regions();
+		holding.removeIf((endpoint) -> !regions.allow(endpoint.failureDomain(), this.admitted.route(),
+				this.admitted.organisation()));
+		return holding;
+	}
+
 	/**
 	 * Returns when the first endpoint takes the request, if limits and pauses that
 	 * endpoints state are all that keeps it from being sent.
@@ -120,7 +137,7 @@
 	 */
 	@Nullable Availability limitedAvailability(int ahead) {
 		Availability earliest = null;
-		for (ServedEndpoint endpoint : this.context.directory().holding(this.pool, this.loadable)) {
+		for (ServedEndpoint endpoint : holding()) {
 			Availability availability = availability(endpoint, ahead);
 			if (availability.milliseconds() == 0) {
 				return null;
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -642,7 +642,7 @@
 		private boolean canTryAnother() {
 			return route().execution().isRepeatable() && endsBeforeStop()
 					&& Forwarding.this.attempts + 1 < route().maximumAttempts()
-					&& Forwarding.this.context.directory().holding(pool(), loadable()).size() > 1;
+					&& new EndpointChooser(Forwarding.this.context, Forwarding.this.request, admitted()).hasChoice();
 		}
 
 	}
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestTurn.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestTurn.java
@@ -45,8 +45,7 @@
 
 	private RequestTurn(Subject subject) {
 		this.subject = subject;
-		this.chooser = new EndpointChooser(subject.context(), subject.request(), subject.route(), subject.pool(),
-				subject.admitted().pool().engine());
+		this.chooser = new EndpointChooser(subject.context(), subject.request(), subject.admitted());
 	}
 
 	/**
--- a/serving/src/test/java/org/masticshelf/serving/request/ExpectedTimesTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ExpectedTimesTests.java
@@ -106,7 +106,7 @@
 	void backlogOfPeersCountsUntilItIsReadSinceItsReceipt() {
 		PeerRegistry peers = new PeerRegistry(this.clock);
 		PeerMessage message = new PeerMessage("peer", "10.0.0.1:1", 1, Map.of(), Map.of(), List.of(), Map.of(),
-				List.of(), null, Map.of(), null, Map.of("reading", 10_000L, "idle", -5L), Map.of());
+				List.of(), null, Map.of(), null, List.of(), Map.of("reading", 10_000L, "idle", -5L), Map.of());
 		Truth.assertThat(new String(Json.toBytes(message), StandardCharsets.UTF_8)).contains("\"backlog\"");
 		peers.receive(Json.toValue(Json.toBytes(message), PeerMessage.class));
 		this.clock.advance(Duration.ofMillis(100));
--- a/serving/src/test/java/org/masticshelf/serving/request/OrderedForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/OrderedForwardingTests.java
@@ -98,7 +98,7 @@
 	}
 
 	private RequestContext context() {
-		EngineProfile engine = new EngineProfile(1_000, 1, 100_000, 1, Map.of());
+		EngineProfile engine = new EngineProfile(1_000, 0, 1, 100_000, 1, Map.of());
 		ServedTables tables = new ServedTables(1, List.of(route("urgent", 0, 10_000), route("deferrable", 2, 20_000)),
 				Map.of("pool", new ServedPool("pool", 10, engine)), Map.of(), false,
 				new ServedTables.Limits(1_000, 1_000));
@@ -178,7 +178,8 @@
 		}
 		this.loads.recordStart(this.listed, null, 0);
 		this.peers.receive(new PeerMessage("peer", "127.0.0.1:1", 1, Map.of(), Map.of(), List.of(), Map.of(), List.of(),
-				null, Map.of(), null, List.of(new PeerMessage.QueuedWork("pool", peerPriority, true, 1_000, 1_000))));
+				null, Map.of(), null, List.of(new PeerMessage.QueuedWork("pool", peerPriority, true, 1_000, 1_000)),
+				Map.of(), Map.of()));
 		RecordingCaller caller = new RecordingCaller();
 		Thread request = send(context, route, "m", caller);
 		if (status == 200) {
--- a/serving/src/test/java/org/masticshelf/serving/request/QueueCutoffsTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/QueueCutoffsTests.java
@@ -35,7 +35,7 @@
 
 	private void hear(String peer, QueuedWork... queued) {
 		this.peers.receive(new PeerMessage(peer, "127.0.0.1:1", 1, Map.of(), Map.of(), List.of(), Map.of(), List.of(),
-				null, Map.of(), null, List.of(queued)));
+				null, Map.of(), null, List.of(queued), Map.of(), Map.of()));
 	}
 
 	private Verdict decide(int priority, long slack, int ahead) {
