Skip the count of bodies at endpoints that have no bound

Ending a body took the lock of all endpoints and built a key for each request, also where no bound is set. It now returns at once, as beginning does.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointBodies.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointBodies.java
@@ -54,7 +54,7 @@
 	 * @return whether the sum stays within the bound, or nothing else is in progress
 	 */
 	public boolean hasRoom(ServedEndpoint endpoint, long bytes) {
-		if (bytes == 0 || this.bound == Long.MAX_VALUE) {
+		if (isUnbounded(bytes)) {
 			return true;
 		}
 		Event full = null;
@@ -87,7 +87,7 @@
 	 * @return whether the body is in progress now
 	 */
 	public boolean tryBegin(ServedEndpoint endpoint, long bytes) {
-		if (bytes == 0 || this.bound == Long.MAX_VALUE) {
+		if (isUnbounded(bytes)) {
 			return true;
 		}
 		synchronized (this) {
@@ -104,17 +104,22 @@
 	 * @param endpoint the endpoint
 	 * @param bytes the length of the body
 	 */
-	public synchronized void end(ServedEndpoint endpoint, long bytes) {
-		Sum sum = this.sums.get(keyOf(endpoint));
-		if (sum == null) {
+	public void end(ServedEndpoint endpoint, long bytes) {
+		if (isUnbounded(bytes)) {
 			return;
 		}
-		sum.bytes -= bytes;
-		if (sum.bytes <= 0) {
-			this.sums.remove(keyOf(endpoint));
+		synchronized (this) {
+			this.sums.computeIfPresent(keyOf(endpoint), (key, sum) -> {
+				sum.bytes -= bytes;
+				return (sum.bytes > 0) ? sum : null;
+			});
 		}
 	}
 
+	private boolean isUnbounded(long bytes) {
+		return bytes == 0 || this.bound == Long.MAX_VALUE;
+	}
+
 	/**
 	 * Returns the largest sum of all endpoints.
 	 * @return the bytes in progress at the endpoint that has most
