--- a/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingSettings.java
@@ -192,8 +192,8 @@
 		 */
 		public ServingSettings build() {
 			return new ServingSettings(this.instance, this.failureDomain, this.callers, this.probes, this.peers,
-					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound,
-					this.regions, this.orderedByCost, this.memoryMegabytes);
+					this.stopMilliseconds, this.settleMilliseconds, this.storeLoadsAtOnce, this.coldBound, this.regions,
+					this.orderedByCost, this.memoryMegabytes);
 		}
 
 	}
