--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -23,7 +22,6 @@
 import org.masticshelf.control.view.PrefixView;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.port.PeerChannel;
-import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.caller.ServingListener;
@@ -112,7 +110,7 @@
 	private final UnservedRequests unserved = new UnservedRequests(this.clock);
 
 	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info,
-			this::findingsChanged);
+			this::notifyPeers);
 
 	private final PlannedStop plannedStop;
 
@@ -165,8 +163,8 @@
 				new Random(incarnation.hashCode()), EventLog::info);
 		this.plannedStop = new PlannedStop(this.clock, settings.stopMilliseconds());
 		this.coldEndpoints = new ColdEndpoints(new ColdEndpoints.Settings(incarnation, settings.coldBound()),
-				this::tables, this.clock, InstantSource.system(), EventLog::info, this::findingsChanged);
-		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::findingsChanged,
+				this::tables, this.clock, InstantSource.system(), EventLog::info, this::notifyPeers);
+		this.endpointLimits = new EndpointLimits(incarnation, this.clock, EventLog::info, this::notifyPeers,
 				this.coldEndpoints);
 		this.directory.setRegions(settings.regions());
 		this.evacuations.addTakeBackListener(this.coldEndpoints::presumeCold);
@@ -178,7 +176,7 @@
 						this.directory, this.loads::isInSilentDomain),
 				this::tables, this::demand, this.clock,
 				new Placement.Settings(settings.instance(), settings.settleMilliseconds(), settings.storeLoadsAtOnce()),
-				EventLog::info, this::placementChanged);
+				EventLog::info, this::notifyPeers);
 		this.peerExchange = new PeerExchange(new PeerExchange.Components(this.members, this.placementDuty,
 				this.peerRegistry, this.grants, this.loads, this.directory, this.waitingRequests, this.unserved,
 				this.rates, this.placement, this.endpointLimits, this.quarantine), this.clock, this.scheduler);
@@ -232,7 +230,7 @@
 		}
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
 		this.ports.desiredState().followEvacuations(this.evacuations::apply);
-		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
+		this.ports.desiredState().follow(this.scheduler, this::adopt, this.directory::replace);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
 		scheduleEvery(PEER_INTERVAL_MILLISECONDS, this::peerRound);
 		this.placement.start();
@@ -316,17 +314,13 @@
 		return this.peerExchange.demand();
 	}
 
-	private void placementChanged() {
-		this.peerExchange.scheduleUpdates();
-	}
-
-	private void findingsChanged() {
+	private void notifyPeers() {
 		this.peerExchange.scheduleUpdates();
 	}
 
 	private void demandChanged() {
 		this.placement.wake();
-		this.peerExchange.scheduleUpdates();
+		notifyPeers();
 	}
 
 	/**
