Observe cold endpoints before they are listed again

The method is back in use; only the two equal callbacks stay joined. The modules up to the platform compile.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Collection;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -22,6 +23,7 @@
 import org.masticshelf.control.view.PrefixView;
 import org.masticshelf.kernel.event.Event;
 import org.masticshelf.kernel.port.PeerChannel;
+import org.masticshelf.kernel.serving.ServedEndpoint;
 import org.masticshelf.kernel.serving.ServedTables;
 import org.masticshelf.kernel.time.MonotonicClock;
 import org.masticshelf.serving.caller.ServingListener;
@@ -230,7 +232,7 @@
 		}
 		this.peerExchange.open(this.settings.peers().host(), this.settings.peers().port());
 		this.ports.desiredState().followEvacuations(this.evacuations::apply);
-		this.ports.desiredState().follow(this.scheduler, this::adopt, this.directory::replace);
+		this.ports.desiredState().follow(this.scheduler, this::adopt, this::replaceEndpoints);
 		scheduleEvery(CONTROL_INTERVAL_MILLISECONDS, this::controlRound);
 		scheduleEvery(PEER_INTERVAL_MILLISECONDS, this::peerRound);
 		this.placement.start();
