Keep the account of the weight store's loads in a class of its own

WeightStoreLoads holds the loads, the learned throughput and its log line; overdue loads say so in the log. The metrics of what keeps requests from endpoints are registered together.

--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -111,8 +111,7 @@
 
 	private final UnservedRequests unserved = new UnservedRequests(this.clock);
 
-	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info,
-			this::notifyPeers);
+	private final RequestQuarantine quarantine = new RequestQuarantine(this.clock, EventLog::info, this::notifyPeers);
 
 	private final PlannedStop plannedStop;
 
@@ -196,9 +195,7 @@
 		this.waitingRequests.setCostAllowed(settings.orderedByCost());
 		ServingMetrics.registerQueues(this.metrics, this.waitingRequests);
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
-		ServingMetrics.registerLimits(this.metrics, this.endpointLimits);
-		ServingMetrics.registerColdEndpoints(this.metrics, this.coldEndpoints);
-		ServingMetrics.registerEvacuations(this.metrics, this.evacuations);
+		ServingMetrics.registerRestrictions(this.metrics, this.endpointLimits, this.coldEndpoints, this.evacuations);
 		ServingMetrics.registerPaces(this.metrics, this.loads);
 		ServingMetrics.registerStarvation(this.metrics, this.placement.starvation());
 		ServingMetrics.registerRestorations(this.metrics, ports.store());
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -23,8 +23,6 @@
 import org.masticshelf.kernel.residency.ResidencyPlan;
 import org.masticshelf.kernel.residency.ResidencyPlanner;
 import org.masticshelf.kernel.residency.ResidencyStep;
-import org.masticshelf.kernel.residency.StoreLoads;
-import org.masticshelf.kernel.residency.StoreThroughput;
 import org.masticshelf.kernel.residency.UnservedDemand;
 import org.masticshelf.kernel.residency.WaitingDemand;
 import org.masticshelf.kernel.serving.EngineProfile;
@@ -105,9 +103,7 @@
 
 	private final Set<String> fetched = new HashSet<>();
 
-	private StoreThroughput storeThroughput;
-
-	private final StoreLoads storeLoads = new StoreLoads();
+	private final WeightStoreLoads storeLoads;
 
 	private final StepExecution execution;
 
@@ -144,8 +140,9 @@
 		this.log = log;
 		this.onChange = onChange;
 		this.starvation = new StarvationMonitor(log);
-		this.storeThroughput = new StoreThroughput(settings.storeLoadsAtOnce());
-		this.execution = new StepExecution(this, access.orders(), clock, settings.holder(), log, this::announceChange);
+		this.storeLoads = new WeightStoreLoads(settings.storeLoadsAtOnce(), clock, log);
+		this.execution = new StepExecution(this, this.storeLoads, access.orders(), clock, settings.holder(), log,
+				this::announceChange);
 	}
 
 	/**
@@ -230,7 +227,7 @@
 		synchronized (this) {
 			long now = this.clock.milliseconds();
 			refreshEngines(currentTables, now, actions);
-			learnOverdueStoreLoads(now);
+			this.storeLoads.learnOverdue(now);
 			Map<String, Long> previous = Map.copyOf(this.readyIn);
 			this.readyIn.clear();
 			Demand demand = this.demand.get();
@@ -289,50 +286,6 @@
 		}
 	}
 
-	/**
-	 * Records that an engine has begun a load from the weight store.
-	 * @param load the load
-	 * @return how long it is expected to take, in milliseconds
-	 */
-	synchronized long beginStoreLoad(ResidencyStep.Load load) {
-		return this.storeLoads.begin(load.endpoint(), load.milliseconds(), this.storeThroughput.loadsAtFullSpeed(),
-				this.clock.milliseconds());
-	}
-
-	/**
-	 * Records that the engine of a load from the weight store was lost.
-	 * @param load the load
-	 */
-	synchronized void recordLostStoreLoad(ResidencyStep.Load load) {
-		this.storeLoads.recordLostEngine(load.endpoint());
-	}
-
-	/**
-	 * Learns from a completed load how many loads the weight store serves at full speed.
-	 * @param load the load
-	 * @param tookMilliseconds how long it took
-	 */
-	void completeStoreLoad(ResidencyStep.Load load, long tookMilliseconds) {
-		StoreThroughput before;
-		StoreThroughput after;
-		int concurrentLoads;
-		synchronized (this) {
-			concurrentLoads = this.storeLoads.complete(load.endpoint());
-			before = this.storeThroughput;
-			after = (concurrentLoads > 0) ? before.learn(tookMilliseconds, load.milliseconds(), concurrentLoads)
-					: before;
-			this.storeThroughput = after;
-		}
-		if (!after.equals(before)) {
-			this.log.accept(Event.named("placement.store_throughput")
-				.with("loads", after.loadsAtFullSpeed())
-				.with("before", before.loadsAtFullSpeed())
-				.with("took_ms", tookMilliseconds)
-				.with("nominal_ms", load.milliseconds())
-				.with("concurrent", concurrentLoads));
-		}
-	}
-
 	private void refreshEngines(ServedTables currentTables, long now, List<Runnable> actions) {
 		Set<String> present = new HashSet<>();
 		for (ServedPool pool : currentTables.pools().values()) {
@@ -357,19 +310,6 @@
 		this.engines.keySet().retainAll(present);
 	}
 
-	private void learnOverdueStoreLoads(long now) {
-		int before = this.storeThroughput.loadsAtFullSpeed();
-		int concurrent = this.storeLoads.findOverdue(before, now);
-		if (concurrent > 0) {
-			this.storeThroughput = this.storeThroughput.learnOverdue(concurrent);
-			this.log.accept(Event.named("placement.store_throughput")
-				.with("loads", this.storeThroughput.loadsAtFullSpeed())
-				.with("before", before)
-				.with("overdue", true)
-				.with("concurrent", concurrent));
-		}
-	}
-
 	private long reportInterval(EngineState state, ServedEndpoint endpoint) {
 		if (!state.isKnown()) {
 			return UNKNOWN_REPORT_INTERVAL_MILLISECONDS;
@@ -409,8 +349,8 @@
 		this.starvation
 			.observe(new StarvationMonitor.Observation(pool, snapshots, profile.models().keySet(), unserved, complete));
 		ResidencyPlan plan = ResidencyPlanner.plan(new ResidencyInput(usable, profile.models(), demand.waiting(pool),
-				unserved, demand.rates(pool), this.fetched, complete, storeLoads,
-				this.storeThroughput.loadsAtFullSpeed(), (storeLoads > 0) ? nextStoreLoad : 0,
+				unserved, demand.rates(pool), this.fetched, complete, storeLoads, this.storeLoads.loadsAtFullSpeed(),
+				(storeLoads > 0) ? nextStoreLoad : 0,
 				new PromptReading(RateKeys.selectPromptTokens(demand.rates(), pool), allowedPause)));
 		plan.readyInMilliseconds()
 			.forEach((model, readyInMilliseconds) -> this.readyIn.put(PeerRegistry.estimateKey(pool, model),
--- a/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/StepExecution.java
@@ -74,6 +74,8 @@
 
 	private final Placement placement;
 
+	private final WeightStoreLoads storeLoads;
+
 	private final EngineOrders orders;
 
 	private final MonotonicClock clock;
@@ -84,9 +86,10 @@
 
 	private final Runnable announceChange;
 
-	StepExecution(Placement placement, EngineOrders orders, MonotonicClock clock, String holder, Consumer<Event> log,
-			Runnable announceChange) {
+	StepExecution(Placement placement, WeightStoreLoads storeLoads, EngineOrders orders, MonotonicClock clock,
+			String holder, Consumer<Event> log, Runnable announceChange) {
 		this.placement = placement;
+		this.storeLoads = storeLoads;
 		this.orders = orders;
 		this.clock = clock;
 		this.holder = holder;
@@ -162,8 +165,7 @@
 			if (answer == OrderAnswer.ACCEPTED) {
 				synchronized (this.placement) {
 					state.recordAcceptedOrder(this.clock.milliseconds());
-					state.recordLoadStarted(
-							isFromStore(step) ? this.placement.beginStoreLoad(step) : step.milliseconds(),
+					state.recordLoadStarted(isFromStore(step) ? this.storeLoads.begin(step) : step.milliseconds(),
 							this.clock.milliseconds());
 					state.endOrder();
 				}
@@ -265,7 +267,7 @@
 			boolean presumable = local && this.clock.milliseconds() >= dueAt;
 			if (report != null && endLoad(state, load, report, presumable)) {
 				if (!local) {
-					this.placement.completeStoreLoad(load, this.clock.milliseconds() - begunAt);
+					this.storeLoads.complete(load, this.clock.milliseconds() - begunAt);
 				}
 				return;
 			}
@@ -275,7 +277,7 @@
 			.with("loadable", load.loadable())
 			.with("missing_reports", missing));
 		synchronized (this.placement) {
-			this.placement.recordLostStoreLoad(load);
+			this.storeLoads.recordLostEngine(load);
 			state.markUnknown();
 			state.recordUnloaded(load.loadable());
 		}
--- a/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/ServingMetrics.java
@@ -110,37 +110,24 @@
 	}
 
 	/**
-	 * Registers the metrics of the limits that endpoints state.
+	 * Registers the metrics of what keeps requests from endpoints.
 	 * @param registry the registry
-	 * @param limits the source of the values
+	 * @param limits the limits that endpoints state
+	 * @param coldEndpoints the cold endpoints
+	 * @param evacuations the evacuated failure domains
 	 */
-	public static void registerLimits(PrometheusRegistry registry, EndpointLimits limits) {
+	public static void registerRestrictions(PrometheusRegistry registry, EndpointLimits limits,
+			ColdEndpoints coldEndpoints, Evacuations evacuations) {
 		GaugeWithCallback.builder()
 			.name("masticshelf_serving_limited_endpoints")
 			.help("Endpoints that state how many requests a second they take.")
 			.callback((callback) -> callback.call(limits.size()))
 			.register(registry);
-	}
-
-	/**
-	 * Registers the metric of cold endpoints.
-	 * @param registry the registry
-	 * @param coldEndpoints the source of the values
-	 */
-	public static void registerColdEndpoints(PrometheusRegistry registry, ColdEndpoints coldEndpoints) {
 		GaugeWithCallback.builder()
 			.name("masticshelf_serving_cold_endpoints")
 			.help("Endpoints that are cold or presumed to be.")
 			.callback((callback) -> callback.call(coldEndpoints.size()))
 			.register(registry);
-	}
-
-	/**
-	 * Registers the metric of evacuated failure domains.
-	 * @param registry the registry
-	 * @param evacuations the source of the values
-	 */
-	public static void registerEvacuations(PrometheusRegistry registry, Evacuations evacuations) {
 		GaugeWithCallback.builder()
 			.name("masticshelf_serving_evacuated_domains")
 			.help("Failure domains whose endpoints get no requests, because operators have evacuated them.")
