Write all queued bytes before the end of an answer

The I/O thread found the queue empty and unended under the lock, released it, and then asked again whether the answer had ended. The last parts and the end were queued in between, so it ended the answer without them.

The end is now read in the same locked step in which the queue is found empty; parts that come later are written by the run that their schedule starts.

--- a/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
@@ -55,6 +55,9 @@
 
 	private boolean writeScheduled;
 
+	/** Whether the end follows the bytes that were written; used by the I/O thread. */
+	private boolean complete;
+
 	private boolean finished;
 
 	private @Nullable StreamSinkChannel sink;
@@ -245,7 +248,7 @@
 				}
 				removeWritten(next);
 			}
-			if (!isEnded()) {
+			if (!this.complete) {
 				if (!channel.flush()) {
 					resumeWhenWritable(channel);
 				}
@@ -291,8 +294,11 @@
 		this.lock.lock();
 		try {
 			ByteBuffer next = this.queue.peekFirst();
-			if (next == null && !this.ended) {
-				this.writeScheduled = false;
+			if (next == null) {
+				// Both are read under one lock: bytes that are queued before the end but
+				// after the queue was found empty must not be left out.
+				this.complete = this.ended;
+				this.writeScheduled = this.ended;
 			}
 			return next;
 		}
@@ -313,14 +319,4 @@
 		}
 	}
 
-	private boolean isEnded() {
-		this.lock.lock();
-		try {
-			return this.ended;
-		}
-		finally {
-			this.lock.unlock();
-		}
-	}
-
 }
