--- a/review/kit-2/src/ClosedWithNeighbour.java
+++ b/review/kit-2/src/ClosedWithNeighbour.java
@@ -1,6 +1,5 @@
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -29,7 +28,7 @@
 	public static void main(String[] arguments) throws Exception {
 		Path root = Path.of(arguments[0]).toAbsolutePath();
 		slow = !"0".equals(System.getenv("TROUBLE"));
-		Path folder = Files.createTempDirectory("closed-with-neighbour");
+		Path folder = Daemons.temporaryFolder("closed-with-neighbour");
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[1]))) {
 			status = play(root, folder, record);
--- a/review/kit-2/src/Daemons.java
+++ b/review/kit-2/src/Daemons.java
@@ -59,7 +59,7 @@
 
 		void signal(String name) throws Exception {
 			Daemons.this.record.note(this.name + ": gets " + name);
-			new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).start().waitFor();
+			new ProcessBuilder("bash", "-c", "kill -" + name + " " + this.process.pid()).start().waitFor();
 		}
 
 		boolean isReady() {
@@ -128,6 +128,20 @@
 		this.internal = freePort(addresses);
 	}
 
+	/** Creates a folder that is deleted when the script ends. */
+	static Path temporaryFolder(String prefix) throws IOException {
+		Path created = Files.createTempDirectory(prefix);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			try (java.util.stream.Stream<Path> files = Files.walk(created)) {
+				files.sorted(java.util.Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+			}
+			catch (IOException | java.io.UncheckedIOException ex) {
+				// What is left lies in the folder for temporary files.
+			}
+		}));
+		return created;
+	}
+
 	private static int freePort(List<String> addresses) throws IOException {
 		while (true) {
 			int port;
--- a/review/kit-2/src/SharedLease.java
+++ b/review/kit-2/src/SharedLease.java
@@ -24,7 +24,7 @@
 	public static void main(String[] arguments) throws Exception {
 		Path root = Path.of(arguments[0]).toAbsolutePath();
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		Path folder = Files.createTempDirectory("shared-lease");
+		Path folder = Daemons.temporaryFolder("shared-lease");
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[1]))) {
 			// Which daemon notices the return first differs from start to start.
--- a/review/kit-2/src/SpoiltHead.java
+++ b/review/kit-2/src/SpoiltHead.java
@@ -1,7 +1,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +19,7 @@
 	public static void main(String[] arguments) throws Exception {
 		Path root = Path.of(arguments[0]).toAbsolutePath();
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		Path folder = Files.createTempDirectory("spoilt-head");
+		Path folder = Daemons.temporaryFolder("spoilt-head");
 		int status = 2;
 		try (Record record = new Record(Path.of(arguments[1]))) {
 			status = play(root, folder, record, trouble);
