--- a/review/kit-2/src/PartialEntry.java
+++ b/review/kit-2/src/PartialEntry.java
@@ -36,7 +36,7 @@
 				engines.add(new Worker(store, record, "i-engine" + index, "design-llm", "sofia-" + "ab".charAt(index), 64,
 						Set.of("m0"), (worker, request, out, socket) -> run(worker, request, out, socket, record, wrong)));
 			}
-			new Worker(store, record, "i-desk0", "order-desk", "sofia-a", 6, null, SharedLease::plain);
+			new Worker(store, record, "i-desk0", "order-desk", "sofia-a", 6, null, PartialEntry::plain);
 			for (Daemons.Machine machine : daemons.machines) {
 				machine.start();
 			}
@@ -73,4 +73,10 @@
 		return true;
 	}
 
+	private static boolean plain(Worker worker, Web.Request request, OutputStream out, Socket socket) throws Exception {
+		Thread.sleep(30);
+		Web.answer(out, 200, worker.signed(request), "done".getBytes());
+		return true;
+	}
+
 }
--- a/review/kit-2/src/Store.java
+++ b/review/kit-2/src/Store.java
@@ -15,7 +15,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** The platform's store: items, leases, one revision, watches; it can return from a copy. */
+/** The platform's store: items, leases, one revision, watches. */
 final class Store implements AutoCloseable {
 
 	static final ObjectMapper JSON = new ObjectMapper();
@@ -26,10 +26,6 @@
 	private record Change(String key, long revision, Item item) {
 	}
 
-	/** A copy: everything that the store keeps, the numbers it gives out included. */
-	record Copy(long revision, long nextLease, Map<String, Object> items, Map<Long, Long> leases) {
-	}
-
 	private TreeMap<String, Item> items = new TreeMap<>();
 
 	private final List<Change> changes = new ArrayList<>();
@@ -42,17 +38,11 @@
 
 	private long nextLease = 77_000;
 
-	private long era = 1;
-
-	private long oldest = 100;
-
-	private boolean away;
-
-	private long lastAsked;
+	private final long oldest = 100;
 
 	private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
 
-	/** Channels from before the last return. */
+	/** Channels on which nothing is answered any more. */
 	private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
 
 	private final Web web;
@@ -79,44 +69,12 @@
 		notifyAll();
 	}
 
-	synchronized Copy copy() {
-		return new Copy(this.revision, this.nextLease, new TreeMap<>(this.items), new HashMap<>(this.leaseTimes));
-	}
-
-	/**
-	 * Goes away as a machine does that loses its power: its channels, and those opened meanwhile, are silent for good.
-	 */
-	synchronized void goAway() {
-		this.away = true;
+	/** All open channels are silent from now on, for good; new ones work. */
+	synchronized void silenceChannels() {
+		this.silent.addAll(this.channels);
 		notifyAll();
 	}
 
-	/** Returns from a copy; what lies under the prefixes of other writers is written again. */
-	void comeBack(Copy copy) {
-		synchronized (this) {
-			TreeMap<String, Item> before = this.items;
-			this.items = new TreeMap<>();
-			copy.items().forEach((key, item) -> this.items.put(key, (Item) item));
-			this.leaseTimes = new HashMap<>(copy.leases());
-			this.leaseEnds = new HashMap<>();
-			this.leaseTimes.forEach((lease, time) -> this.leaseEnds.put(lease, now() + time));
-			this.revision = copy.revision();
-			this.nextLease = copy.nextLease();
-			this.changes.clear();
-			this.oldest = this.revision;
-			this.era++;
-			before.forEach((key, item) -> {
-				if (key.startsWith("op/") || key.startsWith("servers/")) {
-					write(key, item.value(), 0);
-				}
-			});
-			this.silent.addAll(this.channels);
-			this.away = false;
-			notifyAll();
-		}
-		this.record.note("store: back from a copy, era " + this.era);
-	}
-
 	private void closeChannels() {
 		for (Socket channel : List.copyOf(this.channels)) {
 			try {
@@ -155,12 +113,9 @@
 				return;
 			}
 			synchronized (this) {
-				// Leases pause while the store is away.
-				if (!this.away) {
-					for (Long lease : List.copyOf(this.leaseEnds.keySet())) {
-						if (this.leaseEnds.get(lease) < now()) {
-							end(lease);
-						}
+				for (Long lease : List.copyOf(this.leaseEnds.keySet())) {
+					if (this.leaseEnds.get(lease) < now()) {
+						end(lease);
 					}
 				}
 			}
@@ -193,51 +148,24 @@
 		this.channels.add(socket);
 		ObjectNode body = JSON.createObjectNode();
 		int status;
-		long answerEra;
 		synchronized (this) {
 			if (isSilent(socket)) {
-				if (this.away && request.path().startsWith("/kv-keep/")) {
-					this.lastAsked = Long.parseLong(request.path().substring(9));
-					notifyAll();
-				}
 				return true;
 			}
-			long begunIn = this.era;
 			status = route(request, body);
-			answerEra = this.era;
-			if (isSilent(socket) || answerEra != begunIn) {
+			if (isSilent(socket)) {
 				return true;
 			}
 		}
 		// The store takes 4 ms for an answer.
 		Thread.sleep(4);
-		Web.answer(out, status, "Content-Type: application/json\r\nStore-Era: " + answerEra + "\r\n",
+		Web.answer(out, status, "Content-Type: application/json\r\nStore-Era: 1\r\n",
 				JSON.writeValueAsBytes(body));
 		return true;
 	}
 
-	/** The lease that a key is bound to, 0 for none. */
-	synchronized long leaseOf(String key) {
-		Item item = this.items.get(key);
-		return (item != null) ? item.lease() : 0;
-	}
-
-	/** Waits, while away, until a renewal of a lease has arrived that gets no answer. */
-	synchronized boolean awaitRenewal(long lease, long milliseconds) throws InterruptedException {
-		this.lastAsked = 0;
-		long until = now() + milliseconds;
-		while (this.lastAsked != lease) {
-			long left = until - now();
-			if (left <= 0) {
-				return false;
-			}
-			wait(left);
-		}
-		return true;
-	}
-
 	private boolean isSilent(Socket channel) {
-		return this.away || this.silent.contains(channel);
+		return this.silent.contains(channel);
 	}
 
 	private int route(Web.Request request, ObjectNode answer) throws Exception {
@@ -268,7 +196,7 @@
 				long lease = ++this.nextLease;
 				this.leaseTimes.put(lease, time);
 				this.leaseEnds.put(lease, now() + time);
-				this.record.note("store: gives lease " + lease + " in era " + this.era);
+				this.record.note("store: gives lease " + lease);
 				answer.put("lease", lease).put("ttlMs", time);
 				yield 200;
 			}
@@ -302,15 +230,11 @@
 		String prefix = request.parameter("prefix", "");
 		long after = Long.parseLong(request.parameter("after", "0"));
 		long until = now() + Long.parseLong(request.parameter("waitMs", "0"));
-		long begunIn = this.era;
 		if (after < this.oldest || after > this.revision) {
 			return 410;
 		}
 		ArrayNode list = answer.putArray("events");
 		while (true) {
-			if (this.away || this.era != begunIn) {
-				return 200;
-			}
 			for (Change change : this.changes) {
 				if (change.revision() > after && change.key().startsWith(prefix)) {
 					if (change.item() != null) {
--- a/review/kit-2/src/Web.java
+++ b/review/kit-2/src/Web.java
@@ -48,6 +48,8 @@
 
 	private volatile boolean closed;
 
+	private final java.util.Set<Socket> open = java.util.concurrent.ConcurrentHashMap.newKeySet();
+
 	Web(String host, int port, Handler handler) throws IOException {
 		this.handler = handler;
 		this.listening = new ServerSocket();
@@ -65,6 +67,7 @@
 			try {
 				Socket socket = this.listening.accept();
 				socket.setTcpNoDelay(true);
+				this.open.add(socket);
 				Thread.ofPlatform().daemon(true).start(() -> serve(socket));
 			}
 			catch (IOException ex) {
@@ -87,6 +90,9 @@
 		catch (Exception ex) {
 			// The other side has gone, or the stand-in was closed.
 		}
+		finally {
+			this.open.remove(socket);
+		}
 	}
 
 	static Request read(InputStream in) throws IOException {
@@ -178,6 +184,9 @@
 		this.closed = true;
 		try {
 			this.listening.close();
+			for (Socket socket : this.open) {
+				socket.close();
+			}
 		}
 		catch (IOException ex) {
 			// Nothing is lost.
--- a/review/kit-2/src/Worker.java
+++ b/review/kit-2/src/Worker.java
@@ -91,7 +91,9 @@
 			catch (InterruptedException ex) {
 				return;
 			}
-			beat();
+			if (!this.closed) {
+				beat();
+			}
 		}
 	}
 
@@ -230,6 +232,13 @@
 		return List.copyOf(this.orders);
 	}
 
+	/** Leaves without a word: its entry is removed, and it goes on serving until it is closed. */
+	void leave() {
+		this.closed = true;
+		this.store.remove("servers/" + this.identifier);
+		this.record.note(this.identifier + ": its entry is removed");
+	}
+
 	/** Stops to answer, as a worker that has ended. */
 	@Override
 	public void close() {
