--- a/review/kit-2/src/ClosedWithNeighbour.java
+++ b/review/kit-2/src/ClosedWithNeighbour.java
@@ -5,7 +5,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -17,9 +16,7 @@
 
 	private static final int PAIRS = 8;
 
-	private static final Set<String> turnedAway = ConcurrentHashMap.newKeySet();
-
-	/** Whether requests with "a" wait for a place at their second worker. */
+	/** Whether requests with "a" wait for a place at the worker that does not turn them away. */
 	private static boolean slow;
 
 	private ClosedWithNeighbour() {
@@ -108,7 +105,7 @@
 		String identifier = request.headers().get("x-masticshelf-request-id");
 		boolean waits = identifier.startsWith("a");
 		record.note(worker.identifier + ": gets " + identifier + " on channel " + socket.getPort());
-		if (waits && turnedAway.add(identifier)) {
+		if (waits && worker.identifier.equals("i-engine0")) {
 			// Full at this moment: not run.
 			Web.answer(out, 503, Worker.header(request) + "X-Masticshelf-Not-Executed: 1\r\nKeep-Alive: timeout=10\r\n",
 					new byte[0]);
--- a/review/kit-2/src/Worker.java
+++ b/review/kit-2/src/Worker.java
@@ -2,9 +2,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -314,11 +312,4 @@
 			.put("resumable", resumable);
 	}
 
-	/** What each generation number was used by, over the orders of one worker. */
-	static Map<Long, Set<String>> holders(List<Order> orders) {
-		Map<Long, Set<String>> holders = new TreeMap<>();
-		orders.forEach((order) -> holders.computeIfAbsent(order.fencing(), (key) -> new TreeSet<>()).add(order.holder()));
-		return holders;
-	}
-
 }
