Log what kind of failure ended an exchange

An answer that was refused and an endpoint that broke off gave the same kind of line, told apart only by the words of its reason, and a connection that this process itself had closed gave reason=null. request.exchange_failed now has the kind, and names the exception where it has no message.

--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -94,7 +94,7 @@
 				connection = this.connections.open(endpoint, this.choice == ConnectionChoice.PROBING);
 			}
 			catch (IOException ex) {
-				return new ExchangeResult.Unreached(String.valueOf(ex.getMessage()));
+				return new ExchangeResult.Unreached(describe(ex));
 			}
 		}
 		boolean reused = idle != null;
@@ -121,7 +121,7 @@
 		}
 		catch (IOException ex) {
 			keepAliveSeconds = 0;
-			return new ExchangeResult.Lost(String.valueOf(ex.getMessage()), kindOf(ex));
+			return new ExchangeResult.Lost(describe(ex), kindOf(ex));
 		}
 		finally {
 			this.plannedStop.removeExchange(end);
@@ -129,6 +129,12 @@
 		}
 	}
 
+	// A connection that is closed by this process fails without a message.
+	private static String describe(IOException failure) {
+		String message = failure.getMessage();
+		return (message != null) ? message : failure.getClass().getSimpleName();
+	}
+
 	private static ExchangeResult.Lost.Kind kindOf(IOException failure) {
 		boolean disconnected = failure instanceof SocketException
 				|| (failure instanceof UpstreamException upstream && upstream.isDisconnected());
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -340,7 +340,7 @@
 			}
 			case ExchangeResult.Answered answered -> handleAnswer(endpoint, answered);
 			case ExchangeResult.Unreached unreached -> {
-				recordFailure(endpoint, unreached.reason());
+				recordFailure(endpoint, "UNREACHED", unreached.reason());
 				yield remaining() > ANSWER_START_MILLISECONDS || giveUpAfterFailure(true);
 			}
 			case ExchangeResult.NotRun notRun -> handleNotRun(endpoint, notRun);
@@ -402,7 +402,7 @@
 			recordTimeout(endpoint);
 		}
 		else {
-			recordFailure(endpoint, lost.reason());
+			recordFailure(endpoint, lost.kind().name(), lost.reason());
 		}
 		if (lost.kind() == ExchangeResult.Lost.Kind.DISCONNECTED && answeringMilliseconds() < HARMLESS_MILLISECONDS) {
 			this.context.quarantine().recordCrash(endpoint, this.fingerprints);
@@ -421,12 +421,13 @@
 				.with("ejected_ms", ejectedMilliseconds));
 	}
 
-	private void recordFailure(ServedEndpoint endpoint, String reason) {
+	private void recordFailure(ServedEndpoint endpoint, String kind, String reason) {
 		long ejectedMilliseconds = this.context.loads().recordFailure(endpoint);
 		this.context.retries().recordExchange(pool(), false);
 		this.context.log()
 			.accept(event("request.exchange_failed").with("endpoint", endpoint.identifier())
 				.with("started_at", endpoint.startedAt())
+				.with("kind", kind)
 				.with("reason", reason)
 				.with("answering_ms", answeringMilliseconds())
 				.with("segments", this.request.sharedSegments())
