Send nothing more of a response that could not be built

This is the second of its two causes: the head is set by a task of the I/O thread, and when that task threw, Undertow logged it and ran the next one, which wrote the body under half a head. On the product's own listener nothing was sent then, and the caller waited.

The steps of a response now run one after the other in ResponseSteps. Once one of them throws, whatever it is, the connection is closed and no further one runs; response.failed says which request it was. The same holds for the listeners that go on with a write.

--- a/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
@@ -20,6 +20,7 @@
 import org.masticshelf.kernel.refusal.Refusal;
 import org.masticshelf.transport.http.CloseListeners;
 import org.masticshelf.transport.http.DisconnectListener;
+import org.masticshelf.transport.http.ResponseSteps;
 import org.masticshelf.transport.http.StreamFraming;
 import org.masticshelf.transport.json.Json;
 
@@ -39,6 +40,8 @@
 
 	private final HttpServerExchange exchange;
 
+	private final ResponseSteps steps;
+
 	private final String echoedIdentifier;
 
 	private final AtomicBoolean started = new AtomicBoolean();
@@ -53,6 +56,7 @@
 
 	UndertowCallerResponse(HttpServerExchange exchange, String echoedIdentifier) {
 		this.exchange = exchange;
+		this.steps = new ResponseSteps(exchange, echoedIdentifier);
 		this.echoedIdentifier = echoedIdentifier;
 	}
 
@@ -61,7 +65,7 @@
 		if (!this.started.compareAndSet(false, true)) {
 			return;
 		}
-		this.exchange.getIoThread().execute(() -> writeResponse(status, headers, body));
+		this.steps.execute(() -> writeResponse(status, headers, body));
 	}
 
 	private void writeResponse(int status, Map<String, String> headers, byte[] body) {
@@ -102,7 +106,7 @@
 	@Override
 	public void sendEvent(byte[] data) {
 		if (this.started.compareAndSet(false, true)) {
-			this.exchange.getIoThread().execute(this::beginStream);
+			this.steps.execute(this::beginStream);
 		}
 		appendEvent(data);
 	}
@@ -110,12 +114,12 @@
 	private void appendEvent(byte[] data) {
 		ByteBuffer framed = ByteBuffer.allocate(data.length + 8);
 		framed.put("data: ".getBytes(StandardCharsets.US_ASCII)).put(data).put((byte) '\n').put((byte) '\n').flip();
-		this.exchange.getIoThread().execute(() -> enqueue(framed));
+		this.steps.execute(() -> enqueue(framed));
 	}
 
 	@Override
 	public void finishStream() {
-		this.exchange.getIoThread().execute(() -> {
+		this.steps.execute(() -> {
 			this.finishing = true;
 			writePending();
 		});
@@ -131,7 +135,7 @@
 		if (opened == null) {
 			return;
 		}
-		opened.getWriteSetter().set((writable) -> writePending());
+		opened.getWriteSetter().set(this.steps.listener(this::writePending));
 		this.channel = opened;
 	}
 
@@ -187,7 +191,7 @@
 
 	@Override
 	public void onDisconnect(Runnable action) {
-		this.exchange.getIoThread().execute(() -> {
+		this.steps.execute(() -> {
 			if (this.exchange.isComplete()) {
 				return;
 			}
--- a/serving/src/main/java/org/masticshelf/serving/caller/AccountedCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/AccountedCallerChannel.java
@@ -37,7 +37,7 @@
 	private final AnswerAccount answer;
 
 	AccountedCallerChannel(HttpServerExchange exchange, String identifier, CallerMemory memory, BodyAccount body) {
-		super(exchange);
+		super(exchange, identifier);
 		this.body = body;
 		this.answer = memory.openAnswer(identifier, this::disconnect);
 		if (isGone()) {
--- a/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/ServingListener.java
@@ -169,7 +169,7 @@
 		exchange.getRequestReceiver()
 			.receiveFullBytes(
 					(receiving, body) -> decode(receiving, body, arrivedNanoseconds,
-							(request) -> new UndertowCallerChannel(receiving)),
+							(request) -> new UndertowCallerChannel(receiving, request.identifier())),
 					(failing, failure) -> refuse(failing, STATUS_BAD_REQUEST));
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
@@ -21,6 +21,7 @@
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.transport.http.CloseListeners;
 import org.masticshelf.transport.http.DisconnectListener;
+import org.masticshelf.transport.http.ResponseSteps;
 import org.masticshelf.transport.http.StreamFraming;
 
 /**
@@ -39,6 +40,8 @@
 
 	private final HttpServerExchange exchange;
 
+	private final ResponseSteps steps;
+
 	private final ReentrantLock lock = new ReentrantLock();
 
 	private final Condition queueDrained = this.lock.newCondition();
@@ -62,11 +65,12 @@
 
 	private @Nullable StreamSinkChannel sink;
 
-	UndertowCallerChannel(HttpServerExchange exchange) {
+	UndertowCallerChannel(HttpServerExchange exchange, String identifier) {
 		this.exchange = exchange;
+		this.steps = new ResponseSteps(exchange, identifier);
 		CloseListeners.add(exchange, this::handleClose);
 		// The connection's listener suspends reads after it has dispatched the exchange.
-		exchange.getIoThread().execute(() -> {
+		this.steps.execute(() -> {
 			if (!exchange.isComplete()) {
 				DisconnectListener.install(exchange);
 			}
@@ -76,7 +80,7 @@
 	/** Disconnects the caller, so that an answer that was started stays incomplete. */
 	final void disconnect() {
 		handleClose();
-		this.exchange.getIoThread().execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
+		this.steps.execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
 	}
 
 	/**
@@ -138,12 +142,12 @@
 
 	@Override
 	public void closeAfterAnswer() {
-		this.exchange.getIoThread().execute(() -> this.exchange.setPersistent(false));
+		this.steps.execute(() -> this.exchange.setPersistent(false));
 	}
 
 	@Override
 	public void begin(int status, List<Header> headers, long length) {
-		this.exchange.getIoThread().execute(() -> {
+		this.steps.execute(() -> {
 			this.exchange.setStatusCode(status);
 			for (Header header : headers) {
 				this.exchange.getResponseHeaders().add(new HttpString(header.name()), header.value());
@@ -204,7 +208,7 @@
 		finally {
 			this.lock.unlock();
 		}
-		this.exchange.getIoThread().execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
+		this.steps.execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
 	}
 
 	private void schedule() {
@@ -218,7 +222,7 @@
 		finally {
 			this.lock.unlock();
 		}
-		this.exchange.getIoThread().execute(this::writeQueued);
+		this.steps.execute(this::writeQueued);
 	}
 
 	// Runs on the connection's I/O thread.
@@ -261,7 +265,7 @@
 				return;
 			}
 			channel.getWriteSetter()
-				.set(ChannelListeners.<StreamSinkChannel>flushingChannelListener((flushed) -> finish(),
+				.set(ChannelListeners.<StreamSinkChannel>flushingChannelListener(this.steps.listener(this::finish),
 						(failing, failure) -> IoUtils.safeClose(this.exchange.getConnection())));
 			channel.resumeWrites();
 		}
@@ -271,10 +275,10 @@
 	}
 
 	private void resumeWhenWritable(StreamSinkChannel channel) {
-		channel.getWriteSetter().set((writable) -> {
-			writable.suspendWrites();
+		channel.getWriteSetter().set(this.steps.listener(() -> {
+			channel.suspendWrites();
 			writeQueued();
-		});
+		}));
 		channel.resumeWrites();
 	}
 
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -237,6 +237,37 @@
 		}
 	}
 
+	/**
+	 * Guards against a response that goes out without the rest of its head, because
+	 * building it has failed (MIXED).
+	 * @param status the status
+	 * @param name the name of a header
+	 */
+	@ParameterizedTest
+	@CsvSource({ "200, X\rY", "200, 'X\nY'", "70000, X" })
+	void responseThatCannotBeBuiltIsNotSent(int status, String name) throws Exception {
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+			socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+			CallerChannel caller = takeRequest().caller();
+			CountDownLatch gone = new CountDownLatch(1);
+			caller.onGone(gone::countDown);
+			caller.begin(status, List.of(new Header("A", "b"), new Header(name, "z"), new Header("Mark", "e")), 2);
+			writeUnlessGone(caller);
+			caller.end();
+			Truth.assertThat(readUntil(socket, "never")).isEmpty();
+			Truth.assertThat(gone.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+	private static void writeUnlessGone(CallerChannel caller) {
+		try {
+			caller.write("ok".getBytes(StandardCharsets.ISO_8859_1));
+		}
+		catch (IOException ex) {
+			// The connection is closed already.
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource(delimiter = '|',
 			value = { "two lengths | Content-Length: 4\\r\\nContent-Length: 5",
