Close a connection only for the exchange that uses it

Cause: an attempt registered the closing of its connection with its caller's channel and never took it back. The connection went to the pool, on to the next request, and was closed under it when the first caller left.

An exchange is now ended from outside through a hold on its connection, which ends under a lock before the connection is given back, and its registration with the caller is closed. Both are needed: the action may be running in another thread by then. The same holds for planned stops.

Related: the channel of an answered caller no longer closes the caller's connection, and a connection whose last answer was not read completely is not reusable, whatever its user believes.

--- a/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
+++ b/daemon/src/main/java/org/masticshelf/daemon/caller/UndertowCallerResponse.java
@@ -13,7 +13,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 import org.masticshelf.daemon.request.CallerResponse;
@@ -143,7 +142,7 @@
 		this.pendingBuffers.add(framed);
 		this.pendingBytes += framed.remaining();
 		if (this.pendingBytes > MAXIMUM_PENDING_BYTES) {
-			IoUtils.safeClose(this.exchange.getConnection());
+			this.steps.closeConnection();
 			return;
 		}
 		writePending();
@@ -179,7 +178,7 @@
 			}
 		}
 		catch (IOException ex) {
-			IoUtils.safeClose(this.exchange.getConnection());
+			this.steps.closeConnection();
 		}
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/caller/CallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/CallerChannel.java
@@ -44,8 +44,9 @@
 	 * Registers an action to run once the caller has disconnected, which is immediately
 	 * if it already has.
 	 * @param action the action, which must not block
+	 * @return the registration, to be closed once the action no longer applies
 	 */
-	void onGone(Runnable action);
+	Registration onGone(Runnable action);
 
 	/**
 	 * Closes the connection after this answer.
@@ -68,4 +69,14 @@
 		// The bytes that are held for this caller are not counted.
 	}
 
+	/** The registration of an action. */
+	@FunctionalInterface
+	interface Registration extends AutoCloseable {
+
+		/** Removes the action, which may be running in another thread. */
+		@Override
+		void close();
+
+	}
+
 }
--- a/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
+++ b/serving/src/main/java/org/masticshelf/serving/caller/UndertowCallerChannel.java
@@ -15,7 +15,6 @@
 import io.undertow.util.HttpString;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 import org.masticshelf.kernel.serving.ServedRequest.Header;
@@ -28,8 +27,9 @@
  * Answers a caller over Undertow.
  * <p>
  * Buffers are queued by the answering thread and written by the connection's I/O thread,
- * which alone accesses the exchange. Invariant: at most {@value #MAXIMUM_QUEUED_BYTES}
- * bytes and one buffer are queued. Thread-safe.
+ * which alone accesses the exchange. Invariants: at most {@value #MAXIMUM_QUEUED_BYTES}
+ * bytes and one buffer are queued; the connection is not closed by this channel once the
+ * exchange is complete. Thread-safe.
  */
 sealed class UndertowCallerChannel implements CallerChannel permits AccountedCallerChannel {
 
@@ -80,7 +80,7 @@
 	/** Disconnects the caller, so that an answer that was started stays incomplete. */
 	final void disconnect() {
 		handleClose();
-		this.steps.execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
+		this.steps.execute(this.steps::closeConnection);
 	}
 
 	/**
@@ -126,18 +126,30 @@
 	}
 
 	@Override
-	public void onGone(Runnable action) {
+	public Registration onGone(Runnable action) {
 		this.lock.lock();
 		try {
 			if (!this.gone) {
 				this.goneActions.add(action);
-				return;
+				return () -> removeGoneAction(action);
 			}
 		}
 		finally {
 			this.lock.unlock();
 		}
 		action.run();
+		return () -> {
+		};
+	}
+
+	private void removeGoneAction(Runnable action) {
+		this.lock.lock();
+		try {
+			this.goneActions.remove(action);
+		}
+		finally {
+			this.lock.unlock();
+		}
 	}
 
 	@Override
@@ -208,7 +220,7 @@
 		finally {
 			this.lock.unlock();
 		}
-		this.steps.execute(() -> IoUtils.safeClose(this.exchange.getConnection()));
+		this.steps.execute(this.steps::closeConnection);
 	}
 
 	private void schedule() {
@@ -232,7 +244,7 @@
 			if (channel == null) {
 				channel = this.exchange.getResponseChannel();
 				if (channel == null) {
-					IoUtils.safeClose(this.exchange.getConnection());
+					this.steps.closeConnection();
 					return;
 				}
 				this.sink = channel;
@@ -266,11 +278,11 @@
 			}
 			channel.getWriteSetter()
 				.set(ChannelListeners.<StreamSinkChannel>flushingChannelListener(this.steps.listener(this::finish),
-						(failing, failure) -> IoUtils.safeClose(this.exchange.getConnection())));
+						(failing, failure) -> this.steps.closeConnection()));
 			channel.resumeWrites();
 		}
 		catch (IOException ex) {
-			IoUtils.safeClose(this.exchange.getConnection());
+			this.steps.closeConnection();
 		}
 	}
 
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -28,8 +28,9 @@
 /**
  * Sends a request to one endpoint and reads its answer.
  * <p>
- * Invariant: any result other than {@link ExchangeResult.Unreached} and
- * {@link ExchangeResult.NotRun} means that the request may have run. Not thread-safe.
+ * Invariants: any result other than {@link ExchangeResult.Unreached} and
+ * {@link ExchangeResult.NotRun} means that the request may have run; nothing that ends
+ * this exchange can close its connection after it was given back. Not thread-safe.
  */
 final class EndpointExchange {
 
@@ -98,10 +99,10 @@
 			}
 		}
 		boolean reused = idle != null;
-		HttpConnection current = connection;
-		Runnable end = current::close;
-		this.caller.onGone(end);
-		this.plannedStop.addExchange(end);
+		ConnectionHold hold = new ConnectionHold(connection);
+		Runnable abort = hold::abort;
+		CallerChannel.Registration whenGone = this.caller.onGone(abort);
+		this.plannedStop.addExchange(abort);
 		int keepAliveSeconds = 0;
 		long sentAt = this.connections.now();
 		boolean answered = false;
@@ -124,7 +125,9 @@
 			return new ExchangeResult.Lost(describe(ex), kindOf(ex));
 		}
 		finally {
-			this.plannedStop.removeExchange(end);
+			this.plannedStop.removeExchange(abort);
+			whenGone.close();
+			hold.end();
 			this.connections.release(endpoint, connection, keepAliveSeconds);
 		}
 	}
--- a/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/caller/ServingListenerTests.java
@@ -130,12 +130,56 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller who loses its answer because an earlier request on its
+	 * connection is ended once more.
+	 * @param aborted whether the earlier channel is aborted or disconnected
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void channelOfAnsweredRequestDoesNotCloseTheConnection(boolean aborted) throws Exception {
+		String request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+		try (Socket socket = connect(request)) {
+			CallerChannel answered = answerRequest();
+			readUntil(socket, "ok");
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			CallerChannel next = takeRequest().caller();
+			if (aborted) {
+				answered.abort();
+			}
+			else {
+				((UndertowCallerChannel) answered).disconnect();
+			}
+			answer(next);
+			Truth.assertThat(readUntil(socket, "ok")).endsWith("ok");
+		}
+	}
+
+	@Test
+	void removedActionDoesNotRun() throws Exception {
+		List<String> actions = new ArrayList<>();
+		CountDownLatch gone = new CountDownLatch(1);
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+			CallerChannel caller = takeRequest().caller();
+			CallerChannel.Registration removed = caller.onGone(() -> actions.add("removed"));
+			caller.onGone(() -> actions.add("kept"));
+			caller.onGone(gone::countDown);
+			removed.close();
+		}
+		Truth.assertThat(gone.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+		Truth.assertThat(actions).containsExactly("kept");
+	}
+
 	private CallerChannel answerRequest() throws Exception {
 		CallerChannel caller = takeRequest().caller();
+		answer(caller);
+		return caller;
+	}
+
+	private static void answer(CallerChannel caller) throws IOException {
 		caller.begin(200, List.of(), 2);
 		caller.write("ok".getBytes(StandardCharsets.ISO_8859_1));
 		caller.end();
-		return caller;
 	}
 
 	private static long countHeld(List<WeakReference<CallerChannel>> references) {
--- a/serving/src/test/java/org/masticshelf/serving/request/RecordingCaller.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/RecordingCaller.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.serving.caller.CallerChannel;
@@ -14,6 +15,8 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+	private final List<Runnable> goneActions = new CopyOnWriteArrayList<>();
+
 	private int status;
 
 	private List<Header> headers = List.of();
@@ -24,6 +27,8 @@
 
 	private volatile boolean gone;
 
+	private volatile boolean leaving;
+
 	@Override
 	public synchronized void begin(int status, List<Header> headers, long length) {
 		if (this.status != 0) {
@@ -54,10 +59,17 @@
 	}
 
 	@Override
-	public void onGone(Runnable action) {
+	public Registration onGone(Runnable action) {
 		if (this.gone) {
 			action.run();
 		}
+		this.goneActions.add(action);
+		return () -> {
+			if (this.leaving) {
+				disconnect();
+			}
+			this.goneActions.remove(action);
+		};
 	}
 
 	@Override
@@ -65,9 +77,20 @@
 		// There is no connection.
 	}
 
-	/** Marks the caller as disconnected. */
+	/** Disconnects the caller as soon as an action is about to be removed. */
+	void disconnectWhenActionIsRemoved() {
+		this.leaving = true;
+	}
+
+	/** Disconnects the caller. */
 	void disconnect() {
 		this.gone = true;
+		this.goneActions.forEach(Runnable::run);
+	}
+
+	/** Returns how many actions still wait for the caller to disconnect. */
+	int countGoneActions() {
+		return this.goneActions.size();
 	}
 
 	synchronized int status() {
--- a/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ScriptedEndpoint.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -34,6 +36,9 @@
 	/** Ends an entry after which the connection is reset. */
 	static final String RESET = "<reset>";
 
+	/** Separates parts of an entry; the next part is sent after {@link #proceed()}. */
+	static final String PAUSE = "<pause>";
+
 	/** An entry that leaves the request without an answer on an open connection. */
 	static final String SILENT = "";
 
@@ -60,6 +65,8 @@
 
 	private final AtomicInteger connections = new AtomicInteger();
 
+	private final CountDownLatch proceeding = new CountDownLatch(1);
+
 	ScriptedEndpoint(String name, String... script) throws IOException {
 		this(name, new LinkedBlockingQueue<>(List.of(script)));
 	}
@@ -128,7 +135,9 @@
 				}
 				boolean reset = answer.endsWith(RESET);
 				boolean close = answer.endsWith(CLOSE);
-				String[] parts = answer.replace(CLOSE, "").replace(RESET, "").split("(?=" + ENDLESS + "|" + DRIP + ")");
+				String[] parts = answer.replace(CLOSE, "")
+					.replace(RESET, "")
+					.split("(?=" + ENDLESS + "|" + DRIP + "|" + PAUSE + ")");
 				for (String part : parts) {
 					write(connection.getOutputStream(), part);
 				}
@@ -159,11 +168,29 @@
 				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRIP_MILLISECONDS));
 			}
 		}
+		else if (part.startsWith(PAUSE)) {
+			awaitProceeding();
+			output.write(bytes(part.substring(PAUSE.length())));
+		}
 		else {
 			output.write(bytes(part));
 		}
 	}
 
+	private void awaitProceeding() throws InterruptedIOException {
+		try {
+			this.proceeding.await();
+		}
+		catch (InterruptedException ex) {
+			throw new InterruptedIOException();
+		}
+	}
+
+	/** Lets the endpoint go on with entries that pause. */
+	void proceed() {
+		this.proceeding.countDown();
+	}
+
 	private static byte[] bytes(String text) {
 		return text.getBytes(StandardCharsets.ISO_8859_1);
 	}
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpConnection.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpConnection.java
@@ -123,6 +123,7 @@
 	 * sent
 	 */
 	public void send(byte[] head, byte[] body, long timeoutMilliseconds) throws IOException {
+		this.reusable = false;
 		byte[] request = new byte[head.length + body.length];
 		System.arraycopy(head, 0, request, 0, head.length);
 		System.arraycopy(body, 0, request, head.length, body.length);
@@ -320,13 +321,13 @@
 	}
 
 	/**
-	 * Returns whether the connection may carry another exchange. To be called after the
-	 * complete body was read.
-	 * @return whether it can be reused
+	 * Returns whether the connection may carry another exchange.
+	 * @return whether it is open and the last answer was read completely
 	 */
 	public boolean isReusable() {
 		try {
-			return this.reusable && this.input.available() == 0;
+			boolean read = this.framing != AnswerHead.Framing.CHUNKED && this.remaining == 0;
+			return this.reusable && read && this.channel.isOpen() && this.input.available() == 0;
 		}
 		catch (IOException ex) {
 			return false;
--- a/transport/src/main/java/org/masticshelf/transport/http/ResponseSteps.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/ResponseSteps.java
@@ -14,7 +14,8 @@
  * <p>
  * Undertow logs what a step throws and carries on with the next one, so that a response
  * could go out without a part of its head or never end. Invariant: once a step has
- * failed, no further one runs, and the connection is closed. Thread-safe.
+ * failed, no further one runs, and the connection is closed unless the response is
+ * complete. Thread-safe, unless said otherwise.
  */
 public final class ResponseSteps {
 
@@ -62,9 +63,19 @@
 		}
 		catch (RuntimeException | Error ex) {
 			this.failed = true;
-			IoUtils.safeClose(this.exchange.getConnection());
+			closeConnection();
 			EventLog.severe(Event.named("response.failed").with("id", this.identifier), ex);
 		}
 	}
 
+	/**
+	 * Closes the connection unless the exchange is complete: it may carry the next one
+	 * then. To be called on the I/O thread.
+	 */
+	public void closeConnection() {
+		if (!this.exchange.isComplete()) {
+			IoUtils.safeClose(this.exchange.getConnection());
+		}
+	}
+
 }
