Refuse answers whose status HTTP does not define

Here 000 and 099 were refused, but 600 to 999 reached callers as they came, with the endpoint's headers and body (MIXED).

Cause: parseStatus checked the lower end of the range only. RFC 9110 calls any status outside 100 to 599 invalid, to be processed as a server's error. Such an answer now is no answer: a call that may be repeated is sent again, another one gets 502, a stream that has begun breaks off. All paths that read a head (endpoints, store, engines, peers) share the check.

The cases with 000 passed before, too.

--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -307,6 +307,27 @@
 		Truth.assertThat(this.events.stream().map((event) -> event.field("kind")).toList()).contains("UNUSABLE");
 	}
 
+	/**
+	 * Guards against an answer with a status that HTTP does not define, which reaches the
+	 * caller as an answer (MIXED).
+	 * @param status the status
+	 * @param execution how the request may be sent
+	 * @param expected the status for the caller
+	 */
+	@ParameterizedTest
+	@CsvSource({ "000, AT_MOST_ONCE, 502", "099, AT_MOST_ONCE, 502", "600, AT_MOST_ONCE, 502", "999, AT_MOST_ONCE, 502",
+			"000, STREAM, 502", "600, STREAM, 502", "000, REPEATABLE, 200", "600, REPEATABLE, 200",
+			"999, REPEATABLE, 200", "600, RESUMABLE_STREAM, 200" })
+	void undefinedStatusIsNoAnswer(String status, Execution execution, int expected) throws IOException {
+		route(execution, 2);
+		String undefined = OK_ANSWER.replace("200 OK", status + " OK").replace("Mark: e", "Mark: wrong");
+		listPairWithScript(undefined, OK_ANSWER);
+		send();
+		Truth.assertThat(this.caller.status()).isEqualTo(expected);
+		Truth.assertThat(this.caller.isComplete()).isTrue();
+		Truth.assertThat(receivedRequests()).isEqualTo((expected == 200) ? 2 : 1);
+	}
+
 	/**
 	 * Guards against a stream that goes on, or ends, with an answer that is no HTTP
 	 * response.
@@ -314,7 +335,7 @@
 	 */
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 200 OK~X\rY: z~", "HTTP/1.1 200 OK~X: y\u0000~", "HTTP/1.1 000 OK~",
-			"HTTP/1.1 99 OK~" })
+			"HTTP/1.1 99 OK~", "HTTP/1.1 600 OK~" })
 	void spoiltHeadInPlaceOfResumedStreamIsNoAnswer(String spoilt) throws IOException {
 		route(Execution.RESUMABLE_STREAM, 2);
 		String begun = STREAM + chunk("id: 1\ndata: a\n\n") + ScriptedEndpoint.RESET;
--- a/transport/src/main/java/org/masticshelf/transport/http/AnswerSyntax.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/AnswerSyntax.java
@@ -20,6 +20,8 @@
 
 	private static final int MINIMUM_STATUS = 100;
 
+	private static final int MAXIMUM_STATUS = 599;
+
 	private static final int MAXIMUM_CHUNK_LENGTH_DIGITS = 8;
 
 	private static final int MAXIMUM_KEEP_ALIVE_DIGITS = 5;
@@ -46,7 +48,8 @@
 	 * Parses a status line.
 	 * @param line the line
 	 * @return the status
-	 * @throws UpstreamException if it is no status line of HTTP/1.x
+	 * @throws UpstreamException if it is no status line of HTTP/1.x, or the status
+	 * belongs to no class that HTTP defines
 	 */
 	static int parseStatus(String line) throws UpstreamException {
 		boolean wellFormed = line.length() >= STATUS_END && line.startsWith("HTTP/1.") && isDigit(line.charAt(7))
@@ -57,8 +60,8 @@
 		}
 		String digits = line.substring(STATUS_START, STATUS_END);
 		int status = isNumber(digits) ? Integer.parseInt(digits) : 0;
-		if (status < MINIMUM_STATUS) {
-			throw new UpstreamException("malformed status " + digits);
+		if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+			throw new UpstreamException("status " + digits + " is not defined");
 		}
 		return status;
 	}
--- a/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -202,6 +202,8 @@
 
 		CLOSE_AFTER_REQUEST(ExchangeFailure.Point.AWAITING_ANSWER, ""),
 
+		UNDEFINED_STATUS(ExchangeFailure.Point.INVALID_ANSWER, "HTTP/1.1 600 OK\r\ncontent-length: 0\r\n\r\n"),
+
 		SHORT_BODY(ExchangeFailure.Point.IN_ANSWER, "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf"),
 
 		SHORT_CHUNKS(ExchangeFailure.Point.IN_ANSWER,
--- a/transport/src/test/java/org/masticshelf/transport/http/MalformedHeadTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/MalformedHeadTests.java
@@ -47,11 +47,18 @@
 	@ValueSource(strings = { "", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 20", "HTTP/1.1 2000", "HTTP/1.1 2x0 OK",
 			"HTTP/1.1 -20 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1. 200 OK",
 			"HTTP/1.11 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.1 OK", "HTTP/1.1 000", "HTTP/1.1 000 OK",
-			"HTTP/1.1 099 OK", "HTTP/1.1 101 Other" })
+			"HTTP/1.1 099 OK", "HTTP/1.1 101 Other", "HTTP/1.1 600 OK", "HTTP/1.1 999", "HTTP/1.1 999 OK" })
 	void malformedStatusLineIsNoAnswer(String line) throws IOException {
 		Truth.assertThat(readHead(line + "\r\nContent-Length: 0\r\n\r\n")).isNull();
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 200, 204, 299, 304, 399, 418, 499, 500, 599 })
+	void statusOfEachClassIsAnAnswer(int status) throws IOException {
+		AnswerHead head = readHead("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+		Truth.assertThat((head != null) ? head.status() : 0).isEqualTo(status);
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { " X: indented", "\tX: indented", "X: y~ folded", "X: y~\tfolded", ": no name",
 			" : no name", "no colon", "X Y: z", "X\r: y", "X: y\r", "\r", "Content-Length: 1~Content-Length: 2",
