Bound the answers that are collected, and answer after any failure

Each exchange may collect 8 MiB of an answer, which some twenty of them at a time make more than the heap; and what handles unexpected failures of a request caught RuntimeException only, so that an OutOfMemoryError ended its thread and nobody told the caller.

All answers that are being collected now share an eighth of the heap. Each may hold as much as the others leave free, so that endless ones stop each other while an answer of ordinary size finds room; 64 KiB each are not counted. Any failure disconnects the caller, fails the exchange of the control client, or answers a peer's call, and no longer ends the daemon's periodic work.

--- a/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/PeerExchange.java
@@ -312,7 +312,7 @@
 		try {
 			sendUpdates(false);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			EventLog.severe(Event.named("peer.speaking_failed").with("cause", ex.toString()), ex);
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
+++ b/serving/src/main/java/org/masticshelf/serving/ServingDaemon.java
@@ -38,6 +38,7 @@
 import org.masticshelf.serving.placement.Placement;
 import org.masticshelf.serving.quarantine.QuarantineRecord;
 import org.masticshelf.serving.quarantine.RequestQuarantine;
+import org.masticshelf.serving.request.AnswerMemory;
 import org.masticshelf.serving.request.EndpointBodies;
 import org.masticshelf.serving.request.HeldBytesLedger;
 import org.masticshelf.serving.request.ModelRates;
@@ -191,7 +192,7 @@
 				this.connections, ports.endpoints(), this.grants, this.waitingRequests, this.unserved, this.rates,
 				new RetryBudgets(), this.peerRegistry, this.endpointLimits, this.quarantine, settings.failureDomain(),
 				this.plannedStop, new ServiceTimes(), this.clock, new ServingMetrics(this.metrics), EventLog::info,
-				endpointBodies));
+				endpointBodies, AnswerMemory.ofHeap()));
 		this.waitingRequests.setCostAllowed(settings.orderedByCost());
 		ServingMetrics.registerQueues(this.metrics, this.waitingRequests);
 		ServingMetrics.registerQuarantine(this.metrics, this.quarantine);
@@ -269,7 +270,7 @@
 		try {
 			task.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			EventLog.severe(Event.named("task.failed").with("cause", ex.toString()), ex);
 		}
 	}
--- a/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
+++ b/serving/src/main/java/org/masticshelf/serving/placement/Placement.java
@@ -184,7 +184,7 @@
 				Thread.currentThread().interrupt();
 				return;
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				this.log.accept(Event.named("placement.round_failed").with("cause", ex.toString()));
 			}
 		}
--- a/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EndpointExchange.java
@@ -60,6 +60,8 @@
 
 	private final PlannedStop plannedStop;
 
+	private final AnswerMemory answerMemory;
+
 	/**
 	 * Creates an exchange.
 	 * @param connections the pool of idle connections
@@ -69,9 +71,12 @@
 	 * @param caller the caller; the exchange ends when it disconnects
 	 * @param choice which connection to use
 	 * @param plannedStop ends the exchange when requests are given up
+	 * @param answerMemory bounds the answers that are collected
 	 */
 	EndpointExchange(EndpointConnections connections, EndpointProtocol protocol, OutboundRequest outbound,
-			Limits limits, CallerChannel caller, ConnectionChoice choice, PlannedStop plannedStop) {
+			Limits limits, CallerChannel caller, ConnectionChoice choice, PlannedStop plannedStop,
+			AnswerMemory answerMemory) {
+		this.answerMemory = answerMemory;
 		this.plannedStop = plannedStop;
 		this.choice = choice;
 		this.connections = connections;
@@ -106,12 +111,12 @@
 		int keepAliveSeconds = 0;
 		long sentAt = this.connections.now();
 		boolean answered = false;
-		try {
+		try (AnswerMemory.Account held = this.answerMemory.open()) {
 			connection.send(encodeHead(), this.outbound.request().body(), this.limits.firstByteMilliseconds());
-			AnswerHead answer = readMatchingHead(connection, reused);
+			AnswerHead answer = readMatchingHead(connection, reused, held);
 			answered = true;
 			keepAliveSeconds = answer.closing() ? 0 : answer.keepAliveSeconds();
-			return readAnswer(connection, answer, relay);
+			return readAnswer(connection, answer, relay, held);
 		}
 		catch (SocketTimeoutException ex) {
 			keepAliveSeconds = 0;
@@ -166,7 +171,8 @@
 
 	// A late second answer to an earlier request may precede the expected answer. Only on
 	// a new connection does an answer that names no request belong to this one.
-	private AnswerHead readMatchingHead(HttpConnection connection, boolean reused) throws IOException {
+	private AnswerHead readMatchingHead(HttpConnection connection, boolean reused, AnswerMemory.Account held)
+			throws IOException {
 		for (int skipped = 0; skipped < MAXIMUM_STALE_ANSWERS; skipped++) {
 			AnswerHead answer = connection.readHead(this.limits.firstByteMilliseconds());
 			AnswerMetadata metadata = this.protocol.answerMetadata(answer);
@@ -177,13 +183,13 @@
 			if (identifier == null) {
 				throw new IOException("an answer that names no request");
 			}
-			readBody(connection);
+			readBody(connection, held);
 		}
 		throw new IOException("only answers to other requests");
 	}
 
-	private ExchangeResult readAnswer(HttpConnection connection, AnswerHead answer, StreamRelay relay)
-			throws IOException {
+	private ExchangeResult readAnswer(HttpConnection connection, AnswerHead answer, StreamRelay relay,
+			AnswerMemory.Account held) throws IOException {
 		AnswerMetadata metadata = this.protocol.answerMetadata(answer);
 		if (metadata.requestIdentifier() != null && !metadata.otherEndpoint()) {
 			this.limits.recordStatements(metadata);
@@ -195,7 +201,7 @@
 			this.limits.recordPause(metadata.pauseMilliseconds());
 		}
 		if (metadata.notRun()) {
-			readBody(connection);
+			readBody(connection, held);
 			return new ExchangeResult.NotRun(answer.status(), metadata.otherEndpoint());
 		}
 		boolean successful = answer.status() >= 200 && answer.status() < 300;
@@ -207,12 +213,12 @@
 		}
 		String type = answer.header("content-type");
 		if (answer.status() == 200 && type != null && type.startsWith("text/event-stream")) {
-			return relayStream(connection, answer, relay);
+			return relayStream(connection, answer, relay, held);
 		}
 		if (successful && this.caller.readAheadBytes() < MAXIMUM_ANSWER_BYTES && !relay.isStarted()) {
-			return relayPlain(connection, answer, relay);
+			return relayPlain(connection, answer, relay, held);
 		}
-		byte[] body = readBody(connection);
+		byte[] body = readBody(connection, held);
 		if (!successful && STATUSES_THAT_SUGGEST_NOT_RUN.contains(answer.status())) {
 			return new ExchangeResult.Lost("status " + answer.status() + " without a word that nothing ran",
 					ExchangeResult.Lost.Kind.UNUSABLE);
@@ -220,8 +226,8 @@
 		return new ExchangeResult.Answered(answer.status(), forwardedHeaders(answer), body);
 	}
 
-	private ExchangeResult relayStream(HttpConnection connection, AnswerHead answer, StreamRelay relay)
-			throws IOException {
+	private ExchangeResult relayStream(HttpConnection connection, AnswerHead answer, StreamRelay relay,
+			AnswerMemory.Account held) throws IOException {
 		EventSplitter splitter = new EventSplitter();
 		List<Header> headers = forwardedHeaders(answer);
 		byte[] buffer = new byte[BUFFER_BYTES];
@@ -234,6 +240,7 @@
 				break;
 			}
 			List<StreamEvent> events = splitter.add(buffer, count);
+			held.hold(splitter.partialBytes());
 			if (events.stream().anyMatch(StreamEvent::hasField)) {
 				this.limits.recordEvent();
 				empty = false;
@@ -258,8 +265,8 @@
 
 	// An answer that is not read completely ahead of its caller is passed on in parts. It
 	// can then neither be sent again nor be replaced by an error.
-	private ExchangeResult relayPlain(HttpConnection connection, AnswerHead answer, StreamRelay relay)
-			throws IOException {
+	private ExchangeResult relayPlain(HttpConnection connection, AnswerHead answer, StreamRelay relay,
+			AnswerMemory.Account held) throws IOException {
 		throwIfTooLong(answer.length());
 		List<Header> headers = forwardedHeaders(answer);
 		ByteArrayOutputStream start = new ByteArrayOutputStream();
@@ -281,11 +288,13 @@
 				waitedForCaller += this.connections.now() - before;
 				continue;
 			}
+			held.hold(start.size() + count);
 			start.write(buffer, 0, count);
 			if (start.size() + BUFFER_BYTES > this.caller.readAheadBytes()) {
 				taker = relay.beginPlain(answer.status(), headers, answer.length());
 				taker.write(start.toByteArray());
 				start = new ByteArrayOutputStream();
+				held.hold(0);
 			}
 		}
 		if (taker == null) {
@@ -301,7 +310,7 @@
 		}
 	}
 
-	private byte[] readBody(HttpConnection connection) throws IOException {
+	private byte[] readBody(HttpConnection connection, AnswerMemory.Account held) throws IOException {
 		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		byte[] buffer = new byte[BUFFER_BYTES];
 		while (true) {
@@ -309,8 +318,9 @@
 			if (count < 0) {
 				return body.toByteArray();
 			}
+			throwIfTooLong(body.size() + count);
+			held.hold(body.size() + count);
 			body.write(buffer, 0, count);
-			throwIfTooLong(body.size());
 		}
 	}
 
@@ -332,24 +342,6 @@
 		return forwarded;
 	}
 
-	/** Which connection an exchange uses. */
-	enum ConnectionChoice {
-
-		/** An idle connection if there is one. */
-		POOLED,
-
-		/**
-		 * A new connection, because the endpoint has refused this request before: a
-		 * second copy of that refusal would be taken for the answer, as it names the same
-		 * request.
-		 */
-		NEW,
-
-		/** A new connection that tests whether the endpoint is partitioned off. */
-		PROBING
-
-	}
-
 	/**
 	 * Timeouts of an exchange, queried before each wait, and what the endpoint states of
 	 * itself in its answer.
--- a/serving/src/main/java/org/masticshelf/serving/request/EventSplitter.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/EventSplitter.java
@@ -61,7 +61,15 @@
 	 * @return whether bytes of an incomplete event are buffered
 	 */
 	boolean hasPartialEvent() {
-		return this.partialEvent.size() > 0;
+		return partialBytes() > 0;
+	}
+
+	/**
+	 * Returns how much of an incomplete event is buffered.
+	 * @return the number of bytes
+	 */
+	int partialBytes() {
+		return this.partialEvent.size();
 	}
 
 	/**
--- a/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/Forwarding.java
@@ -18,7 +18,6 @@
 import org.masticshelf.serving.endpoint.EndpointLimits.Availability;
 import org.masticshelf.serving.quarantine.RequestFingerprints;
 import org.masticshelf.serving.quarantine.RequestQuarantine.Finding;
-import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
 import org.masticshelf.serving.upstream.EndpointProtocol.OutboundRequest;
 
@@ -298,7 +297,7 @@
 		try {
 			return new EndpointExchange(this.context.connections(), this.context.protocol(), outbound,
 					new RouteLimits(endpoint, sent), this.caller, chooseConnection(endpoint),
-					this.context.plannedStop())
+					this.context.plannedStop(), this.context.answerMemory())
 				.run(this.relay);
 		}
 		finally {
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestContext.java
@@ -40,13 +40,14 @@
  * @param metrics the request metrics
  * @param log receives the events
  * @param endpointBodies the bodies in progress at endpoints
+ * @param answerMemory bounds the answers that are collected
  */
 public record RequestContext(Supplier<@Nullable ServedTables> tables, EndpointDirectory directory, EndpointLoads loads,
 		EndpointConnections connections, EndpointProtocol protocol, SharedGrants grants,
 		WaitingRequests waitingRequests, UnservedRequests unserved, ModelRates rates, RetryBudgets retries,
 		PeerRegistry peers, EndpointLimits endpointLimits, RequestQuarantine quarantine, String failureDomain,
 		PlannedStop plannedStop, ServiceTimes serviceTimes, MonotonicClock clock, ServingMetrics metrics,
-		Consumer<Event> log, EndpointBodies endpointBodies) {
+		Consumer<Event> log, EndpointBodies endpointBodies, AnswerMemory answerMemory) {
 
 	/**
 	 * Creates dependencies without a bound of the bodies in progress at endpoints.
@@ -78,7 +79,7 @@
 			Consumer<Event> log) {
 		this(tables, directory, loads, connections, protocol, grants, waitingRequests, unserved, rates, retries, peers,
 				endpointLimits, quarantine, failureDomain, plannedStop, serviceTimes, clock, metrics, log,
-				EndpointBodies.unbounded());
+				EndpointBodies.unbounded(), AnswerMemory.ofHeap());
 	}
 
 }
--- a/serving/src/main/java/org/masticshelf/serving/request/RequestForwarder.java
+++ b/serving/src/main/java/org/masticshelf/serving/request/RequestForwarder.java
@@ -8,7 +8,8 @@
 import org.masticshelf.serving.caller.ServingListener;
 
 /**
- * Processes each request on its own virtual thread. Thread-safe.
+ * Processes each request on its own virtual thread. Invariant: a caller whose request
+ * ends in an unexpected failure is disconnected. Thread-safe.
  */
 public final class RequestForwarder implements ServingListener.RequestHandler {
 
@@ -42,10 +43,10 @@
 		try {
 			new Forwarding(this.context, request, caller, arrivedNanoseconds).run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
+			caller.abort();
 			this.context.log()
 				.accept(Event.named("request.broken").with("id", request.identifier()).with("cause", ex.toString()));
-			caller.abort();
 		}
 		finally {
 			caller.releaseBody();
--- a/serving/src/test/java/org/masticshelf/serving/request/EndpointExchangeTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/EndpointExchangeTests.java
@@ -17,7 +17,6 @@
 import org.masticshelf.kernel.serving.ServedRequest;
 import org.masticshelf.kernel.serving.ServedRequest.Header;
 import org.masticshelf.kernel.time.MonotonicClock;
-import org.masticshelf.serving.request.EndpointExchange.ConnectionChoice;
 import org.masticshelf.serving.upstream.EndpointConnections;
 import org.masticshelf.serving.upstream.EndpointProtocol;
 import org.masticshelf.serving.upstream.EndpointProtocol.AnswerMetadata;
@@ -27,7 +26,7 @@
 
 /**
  * Tests that an {@link EndpointExchange} leaves alone a connection that it has given
- * back.
+ * back, and collects no more of an answer than there is room for.
  */
 class EndpointExchangeTests {
 
@@ -44,6 +43,8 @@
 
 	private final PlannedStop plannedStop = new PlannedStop(MonotonicClock.SystemClock.INSTANCE, 8_000);
 
+	private final AnswerMemory memory = new AnswerMemory(1_000_000);
+
 	private final RecordingCaller first = new RecordingCaller();
 
 	private final RecordingCaller second = new RecordingCaller();
@@ -53,7 +54,7 @@
 				List.of(), null, List.of(), new byte[0]);
 		OutboundRequest outbound = new OutboundRequest(request, endpoint.toEndpoint(), null, 0, 2_000, null);
 		return new EndpointExchange(this.connections, Protocol.INSTANCE, outbound, Limits.INSTANCE, caller,
-				ConnectionChoice.POOLED, this.plannedStop)
+				ConnectionChoice.POOLED, this.plannedStop, this.memory)
 			.run(new StreamRelay(caller, null));
 	}
 
@@ -107,6 +108,24 @@
 		}
 	}
 
+	/**
+	 * Guards against a heap that is filled by answers without end (CONFIG).
+	 * @param head the head of the answer
+	 */
+	@ParameterizedTest
+	@Timeout(2 * TIMEOUT_SECONDS)
+	@ValueSource(strings = { "200 OK\r\nMark: e", "404 None", "503 Busy\r\nNot-Run: 1",
+			"200 OK\r\nMark: e\r\nContent-Type: text/event-stream" })
+	void answerWithoutEndIsRefusedOnceItHoldsHalfOfTheMemory(String head) throws IOException {
+		String endless = "HTTP/1.1 " + head + "\r\nId: first\r\n\r\n" + ScriptedEndpoint.ENDLESS + "x";
+		try (ScriptedEndpoint endpoint = new ScriptedEndpoint("e", endless)) {
+			ExchangeResult result = exchange("first", endpoint, this.first);
+			Truth.assertThat(result).isInstanceOf(ExchangeResult.Lost.class);
+			Truth.assertThat(((ExchangeResult.Lost) result).reason()).startsWith("no room for an answer of ");
+			Truth.assertThat(this.memory.countedBytes()).isEqualTo(0);
+		}
+	}
+
 	@Test
 	void holdThatHasEndedDoesNotCloseTheConnection() throws IOException {
 		try (ScriptedEndpoint endpoint = new ScriptedEndpoint("e", ANSWERED)) {
--- a/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/ForwardingTests.java
@@ -189,12 +189,15 @@
 	}
 
 	private void forward(ServedRequest request, RecordingCaller requestCaller) {
+		new Forwarding(context(), request, requestCaller, System.nanoTime()).run();
+	}
+
+	private RequestContext context() {
 		EndpointLoads loads = (this.sharedLoads != null) ? this.sharedLoads : new EndpointLoads(this.clock);
-		RequestContext context = new RequestContext(() -> this.tables, this.directory, loads, this.connections,
-				Protocol.INSTANCE, this.grants, this.waitingRequests, this.unserved, this.rates, new RetryBudgets(),
-				this.peerRegistry, this.limits, this.quarantine, "domain", this.plannedStop, this.serviceTimes,
-				this.clock, new ServingMetrics(new PrometheusRegistry()), this::log);
-		new Forwarding(context, request, requestCaller, System.nanoTime()).run();
+		return new RequestContext(() -> this.tables, this.directory, loads, this.connections, Protocol.INSTANCE,
+				this.grants, this.waitingRequests, this.unserved, this.rates, new RetryBudgets(), this.peerRegistry,
+				this.limits, this.quarantine, "domain", this.plannedStop, this.serviceTimes, this.clock,
+				new ServingMetrics(new PrometheusRegistry()), this::log);
 	}
 
 	private int receivedRequests() {
@@ -348,6 +351,32 @@
 		Truth.assertThat(this.caller.body()).isEqualTo("id: 1\ndata: a\n\n");
 	}
 
+	/**
+	 * Guards against a caller who is never answered because its request ends in a failure
+	 * that nobody expects, such as a full heap (CONFIG).
+	 * @param failure the failure
+	 */
+	@ParameterizedTest
+	@ValueSource(classes = { IllegalStateException.class, OutOfMemoryError.class, StackOverflowError.class })
+	void unexpectedFailureDisconnectsTheCaller(Class<? extends Throwable> failure) throws Exception {
+		route(Execution.AT_MOST_ONCE, 1);
+		Throwable thrown = failure.getConstructor().newInstance();
+		this.reactions.put("request.admitted", () -> throwUnchecked(thrown));
+		RequestForwarder forwarder = new RequestForwarder(context());
+		forwarder.handle(request(null, null, List.of()), this.caller, System.nanoTime());
+		while (forwarder.activeRequests() > 0) {
+			Thread.onSpinWait();
+		}
+		Truth.assertThat(this.caller.isAborted()).isTrue();
+	}
+
+	private static void throwUnchecked(Throwable thrown) {
+		if (thrown instanceof Error error) {
+			throw error;
+		}
+		throw (RuntimeException) thrown;
+	}
+
 	/**
 	 * Endpoints in trouble send bytes without end, which are no answer. The exchange ends
 	 * in time and within bounded memory, and the caller learns that the request may have
--- a/serving/src/test/java/org/masticshelf/serving/request/SlowReaderTests.java
+++ b/serving/src/test/java/org/masticshelf/serving/request/SlowReaderTests.java
@@ -127,7 +127,7 @@
 				new PeerRegistry(this.clock), new EndpointLimits("self", this.clock, this.events::add, () -> {
 				}), new RequestQuarantine(this.clock, this.events::add, () -> {
 				}), "domain", new PlannedStop(this.clock, 8_000), new ServiceTimes(), this.clock,
-				new ServingMetrics(new PrometheusRegistry()), this.events::add, this.bodies);
+				new ServingMetrics(new PrometheusRegistry()), this.events::add, this.bodies, AnswerMemory.ofHeap());
 		ServingListener.Address anyPort = new ServingListener.Address("127.0.0.1", 0);
 		this.listener = ServingListener.start(
 				new ServingListener.Settings(anyPort, anyPort, () -> true, new PrometheusRegistry(), () -> LIMIT),
--- a/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/HttpExchange.java
@@ -130,7 +130,7 @@
 				this.idle.release(this.call.address(), opened);
 			}
 		}
-		catch (IOException | RuntimeException ex) {
+		catch (IOException | RuntimeException | Error ex) {
 			fail(ex);
 			return;
 		}
@@ -213,7 +213,7 @@
 		head.append("\r\n").append(name).append(": ").append(value);
 	}
 
-	private void fail(Exception cause) {
+	private void fail(Throwable cause) {
 		if (cause instanceof SocketTimeoutException) {
 			expire();
 		}
@@ -228,11 +228,12 @@
 				reason + " (" + this.call.method() + " " + this.call.address() + this.call.path() + ")")));
 	}
 
-	private Point pointOf(Exception cause) {
+	private Point pointOf(Throwable cause) {
 		return switch (cause) {
 			case ExchangeFailure known -> known.point();
 			case UpstreamException answered when !answered.isDisconnected() -> Point.INVALID_ANSWER;
 			case RuntimeException unexpected -> Point.INVALID_ANSWER;
+			case Error unexpected -> Point.INVALID_ANSWER;
 			default -> this.point;
 		};
 	}
--- a/transport/src/main/java/org/masticshelf/transport/http/JsonServer.java
+++ b/transport/src/main/java/org/masticshelf/transport/http/JsonServer.java
@@ -100,6 +100,9 @@
 		catch (RuntimeException ex) {
 			send(exchange, 400, errorBody(ex));
 		}
+		catch (Error ex) {
+			send(exchange, 500, errorBody(ex));
+		}
 	}
 
 	private static void sendResult(HttpServerExchange exchange, @Nullable JsonNode answer,
--- a/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
+++ b/transport/src/test/java/org/masticshelf/transport/http/HttpClientTests.java
@@ -6,8 +6,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -125,6 +127,35 @@
 		}
 	}
 
+	/**
+	 * Guards against a round that waits for an answer for ever, because collecting the
+	 * answer has failed as with a full heap.
+	 */
+	@Test
+	void listenerIsToldOfAnErrorOfItsOwn() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+			Thread.startVirtualThread(() -> Fault.answer(listener, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+			CompletableFuture<ExchangeFailure> told = new CompletableFuture<>();
+			HttpCall call = HttpCall.postJson("127.0.0.1:" + listener.getLocalPort(), "/x", new byte[10]);
+			this.client.stream(call, new FailingListener(told));
+			Truth.assertThat(told.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).point())
+				.isEqualTo(ExchangeFailure.Point.INVALID_ANSWER);
+		}
+	}
+
+	@Test
+	void answersCallWhoseHandlerFailsWithAnError() throws Exception {
+		try (JsonServer server = JsonServer.start("127.0.0.1", 0, 1)) {
+			server.addHandler("failing", (body) -> {
+				throw new StackOverflowError();
+			});
+			HttpResponse answer = this.client
+				.exchange(HttpCall.postJson(server.address(), "/control/failing", Json.toBytes("x")))
+				.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			Truth.assertThat(answer.status()).isEqualTo(500);
+		}
+	}
+
 	@Test
 	void reportsUnknownOperation() throws Exception {
 		try (JsonServer server = JsonServer.start("127.0.0.1", 0, 1)) {
@@ -174,6 +205,35 @@
 		}
 	}
 
+	/**
+	 * A listener without room for the answer.
+	 *
+	 * @param told receives the failure that the listener is told of
+	 */
+	private record FailingListener(CompletableFuture<ExchangeFailure> told) implements ResponseListener {
+
+		@Override
+		public void onHead(int status, Map<String, String> headers) {
+			throw new OutOfMemoryError();
+		}
+
+		@Override
+		public void onBody(ByteBuffer piece) {
+			// The head has failed.
+		}
+
+		@Override
+		public void onEnd() {
+			// The head has failed.
+		}
+
+		@Override
+		public void onFailure(ExchangeFailure failure) {
+			this.told.complete(failure);
+		}
+
+	}
+
 	/** What ends an exchange that is not answered in time. */
 	enum Expiry {
 
