--- a/review/13/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/environment || exit 2
-exec "$JAVA_HOME/bin/java" -Xmx256m -cp 'target/review-3:target/platform/*' review3.Main Case13 review/13/record.txt
+exec "$JAVA_HOME/bin/java" -Xmx256m -cp 'target/review-3:target/platform/*' review3.Main Case12 review/12/record.txt
--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+. bin/environment || exit 2
+exec "$JAVA_HOME/bin/java" -Xmx256m -cp 'target/review-3:target/platform/*' review3.Main Case15 review/15/record.txt
--- a/review/kit-3/src/review3/Case13.java
+++ b/review/kit-3/src/review3/Case15.java
@@ -12,7 +12,7 @@
  * A worker turns requests away with Retry-After, and is cut off from the store for some
  * seconds meanwhile.
  */
-final class Case13 implements Main.Case {
+final class Case15 implements Main.Case {
 
 	private static final int RETRY_AFTER_SECONDS = 15;
 
--- a/review/kit-3/src/review3/Store.java
+++ b/review/kit-3/src/review3/Store.java
@@ -53,6 +53,10 @@
 
 	private long lastLease = 77_000;
 
+	private long watchCuts;
+
+	private int waitingWatches;
+
 	private volatile boolean closed;
 
 	Store() {
@@ -96,6 +100,21 @@
 		notifyAll();
 	}
 
+	/**
+	 * Cuts the watches that are waiting.
+	 * @return how many
+	 */
+	synchronized int cutWatches() {
+		this.watchCuts++;
+		int cut = this.waitingWatches;
+		notifyAll();
+		return cut;
+	}
+
+	synchronized int waitingWatches() {
+		return this.waitingWatches;
+	}
+
 	private void write(String key, byte[] value, long lease) {
 		this.revision++;
 		Item before = this.items.get(key);
@@ -233,7 +252,8 @@
 		return 200;
 	}
 
-	private synchronized int watch(Map<String, String> query, ObjectNode answer) throws InterruptedException {
+	private synchronized int watch(Map<String, String> query, ObjectNode answer) throws InterruptedException, IOException {
+		long cutsBefore = this.watchCuts;
 		long after = Long.parseLong(query.get("after"));
 		String prefix = query.get("prefix");
 		long until = now() + Long.parseLong(query.get("waitMs"));
@@ -258,7 +278,16 @@
 				answer.put("storeRevision", this.revision);
 				return 200;
 			}
-			wait(left);
+			this.waitingWatches++;
+			try {
+				wait(left);
+			}
+			finally {
+				this.waitingWatches--;
+			}
+			if (this.watchCuts != cutsBefore) {
+				throw new IOException("the watch is cut");
+			}
 		}
 	}
 
