Review case 12: a part beyond the 64th of a prompt crashes workers without end

It takes the place of the former case 12 (DRAIN while watches are cut), which the earlier case 8 already shows.

--- a/review/kit-3/src/review3/Config.java
+++ b/review/kit-3/src/review3/Config.java
@@ -54,6 +54,41 @@
 		return this;
 	}
 
+	/** A streaming route that may not be resumed. */
+	Config stream(String name, String prefix, String service, int timeout) {
+		route(name, prefix, "streaming", service, 1, timeout);
+		((ObjectNode) this.routes.get(this.routes.size() - 1)).put("sticky", true)
+			.put("gapAimMs", 250)
+			.put("targetLatencyMs", 500);
+		return this;
+	}
+
+	/** A service of model workers with one model. */
+	Config engine(String name, String model) {
+		service(name, 360);
+		ObjectNode engine = ((ObjectNode) this.services.get(this.services.size() - 1)).putObject("engine");
+		engine.put("slots", 64)
+			.put("kvCapacity", 141_754)
+			.put("kvTokenBytes", 327_680)
+			.put("linkMbps", 740_000.0)
+			.put("stride", 3)
+			.put("hostMb", 140_000.0)
+			.put("diskMb", 1_300_000.0)
+			.put("weightsMb", 200_000.0)
+			.put("adapterSlots", 8)
+			.put("loadsPerS", 3.0);
+		engine.putArray("models")
+			.addObject()
+			.put("name", model)
+			.put("weightsMb", 34_300.0)
+			.put("loadTimeS", 6.0)
+			.put("adapters", 0)
+			.put("adapterMb", 40.0)
+			.put("warmS", 0.42)
+			.put("diskS", 0.8);
+		return this;
+	}
+
 	byte[] encode(int version) {
 		this.tree.put("version", version);
 		return Store.bytes(this.tree);
--- a/review/kit-3/src/review3/Store.java
+++ b/review/kit-3/src/review3/Store.java
@@ -53,10 +53,6 @@
 
 	private long lastLease = 77_000;
 
-	private long watchCuts;
-
-	private int waitingWatches;
-
 	private volatile boolean closed;
 
 	Store() {
@@ -100,21 +96,6 @@
 		notifyAll();
 	}
 
-	/**
-	 * Cuts the watches that are waiting.
-	 * @return how many
-	 */
-	synchronized int cutWatches() {
-		this.watchCuts++;
-		int cut = this.waitingWatches;
-		notifyAll();
-		return cut;
-	}
-
-	synchronized int waitingWatches() {
-		return this.waitingWatches;
-	}
-
 	private void write(String key, byte[] value, long lease) {
 		this.revision++;
 		Item before = this.items.get(key);
@@ -252,8 +233,7 @@
 		return 200;
 	}
 
-	private synchronized int watch(Map<String, String> query, ObjectNode answer) throws InterruptedException, IOException {
-		long cutsBefore = this.watchCuts;
+	private synchronized int watch(Map<String, String> query, ObjectNode answer) throws InterruptedException {
 		long after = Long.parseLong(query.get("after"));
 		String prefix = query.get("prefix");
 		long until = now() + Long.parseLong(query.get("waitMs"));
@@ -278,16 +258,7 @@
 				answer.put("storeRevision", this.revision);
 				return 200;
 			}
-			this.waitingWatches++;
-			try {
-				wait(left);
-			}
-			finally {
-				this.waitingWatches--;
-			}
-			if (this.watchCuts != cutsBefore) {
-				throw new IOException("the watch is cut");
-			}
+			wait(left);
 		}
 	}
 
--- a/review/kit-3/src/review3/Worker.java
+++ b/review/kit-3/src/review3/Worker.java
@@ -26,8 +26,6 @@
 
 	private volatile boolean cutFromStore;
 
-	private volatile boolean left;
-
 	private volatile boolean closed;
 
 	private long wroteAt;
@@ -55,15 +53,9 @@
 		this.cutFromStore = cut;
 	}
 
-	/** Leaves without a word: the entry is removed, and the worker serves on. */
-	void leave() {
-		this.left = true;
-		this.store.remove("servers/" + this.id);
-	}
-
 	private void run() {
 		while (!this.closed) {
-			if (!this.cutFromStore && !this.left && Store.now() - this.wroteAt >= HEARTBEAT_MILLISECONDS) {
+			if (!this.cutFromStore && Store.now() - this.wroteAt >= HEARTBEAT_MILLISECONDS) {
 				beat();
 			}
 			if (Store.now() - this.wroteAt > 3 * HEARTBEAT_MILLISECONDS) {
