--- a/review/kit-3/src/review3/Case12.java
+++ b/review/kit-3/src/review3/Case12.java
@@ -109,7 +109,7 @@
 		try {
 			Http.Message answer = Http.call(daemon.callers, "POST", "/hint/" + id,
 					Map.of("Host", Config.HOST, "X-Masticshelf-Request-Id", id, "X-Masticshelf-Deadline-Ms", "8000",
-							"X-Masticshelf-Model", "m0", "X-Masticshelf-Token-Count", "720,40",
+							"X-Masticshelf-Model", "m0", "X-Masticshelf-Token-Count", "710,40",
 							"X-Masticshelf-Prompt-Prefix", parts(id, poison), "Authorization", "Token " + Config.KEY,
 							"Connection", "close"),
 					id.getBytes(StandardCharsets.UTF_8), 9_000);
